--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -1,4 +1,4 @@
-//! The bench's line protocol: lines to events, actions to lines. All decisions are in `plumtray`.
+//! The bench's line protocol: lines to events, actions to lines. All decisions are in `ternstack`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -6,14 +6,14 @@
 mod settings;
 
 use fields::Fields;
-use plumtray::{
-    Action, Arrival, AttemptEnd, Balancer, Event, ListKind, Member, Outcome, Readiness, Report, RequestId,
-    ServerId,
-};
 use settings::Names;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::io::{BufRead, Write};
+use ternstack::{
+    Action, Arrival, AttemptEnd, Balancer, Event, ListKind, Member, Outcome, Readiness, Report, RequestId,
+    ServerId,
+};
 
 /// One gateway: its balancer, and the names it has been told, numbered in the order it met them.
 struct Instance {
--- a/benchlink/src/settings.rs
+++ b/benchlink/src/settings.rs
@@ -1,7 +1,7 @@
 //! The start message's settings, and the names that come with them.
 
-use plumtray::{Class, Effect, Group, Reports, Settings, Tenant};
 use serde_json::Value;
+use ternstack::{Class, Effect, Group, Reports, Settings, Tenant};
 
 /// Names from the settings, in their order; names met later are numbered after them.
 pub struct Names {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,8 +3,8 @@
 mod common;
 use common::*;
 use oorandom::Rand64;
-use plumtray::*;
 use std::collections::BTreeMap;
+use ternstack::*;
 
 #[derive(Default)]
 struct Seen {
