--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -3,10 +3,8 @@
 #![warn(missing_docs)]
 
 mod fields;
-mod settings;
 
 use fields::Fields;
-use settings::Names;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::io::{BufRead, Write};
@@ -14,6 +12,7 @@
     Action, Arrival, AttemptEnd, Balancer, Event, ListKind, Member, Outcome, Readiness, Report, RequestId,
     ServerId,
 };
+use ternstack_settings::{spread, Names, Site};
 
 /// One gateway: its balancer, and the names it has been told, numbered in the order it met them.
 struct Instance {
@@ -131,7 +130,9 @@
             _ => return Err("INIT: conf is missing".into()),
         };
         let seed: u64 = Fields::new(head)?.parsed("prng")?;
-        let (settings, names) = settings::read(conf)?;
+        let conf = serde_json::from_str(conf).map_err(|e| format!("INIT: conf is not readable JSON: {e}"))?;
+        let Site { balancer: settings, names, .. } =
+            ternstack_settings::read(&conf).map_err(|e| format!("INIT: conf: {e}"))?;
         let balancer = Balancer::new(settings, seed).map_err(|e| format!("INIT: {e}"))?;
         let instance = Instance {
             balancer,
@@ -227,11 +228,6 @@
     })
 }
 
-/// FNV-1a: the same number for a name at every gateway.
-fn spread(name: &str) -> u64 {
-    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
-}
-
 fn read_event(instance: &mut Instance, name: &str, fields: &Fields) -> Result<Event, String> {
     Ok(match name {
         "ACCEPT" => {
--- /dev/null
+++ b/gateway/src/config.rs
@@ -0,0 +1,95 @@
+//! What this gateway is told at its start: the file at `LB_CONFIG`, and the `LB_*` variables that go before
+//! it. The settings in the file are read by `ternstack-settings`, for the adapter and the gateway alike.
+use crate::inventory::Inventory;
+use serde_json::Value;
+use std::env;
+use std::net::SocketAddr;
+use ternstack_settings::Site;
+use tracing::level_filters::LevelFilter;
+
+/// The fewest sockets that a gateway can work with.
+const FEWEST_SOCKETS: u64 = 64;
+
+/// All that a gateway is told.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its name, for log lines.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// The most sockets it may hold.
+    pub sockets: usize,
+    /// The warm copy of the inventory.
+    pub known: Inventory,
+    /// The settings.
+    pub site: Site,
+    /// The least severe log lines that are written.
+    pub log: LevelFilter,
+}
+
+impl Config {
+    /// Reads the environment and the file that it names. The error names the faulty key.
+    pub fn from_env() -> Result<Self, String> {
+        let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
+        Self::read(&text, |name| env::var(name).ok())
+    }
+
+    /// Reads a configuration file's text; `variable` looks up what goes before it.
+    pub fn read(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let file: Value = serde_json::from_str(text).map_err(|e| format!("LB_CONFIG is no JSON: {e}"))?;
+        let told = |name: &str, key: &str| match variable(name) {
+            Some(value) => Ok(Some((name.to_string(), value))),
+            None => match file.get(key) {
+                None | Some(Value::Null) => Ok(None),
+                Some(Value::String(value)) => Ok(Some((format!("LB_CONFIG: {key}"), value.clone()))),
+                Some(_) => Err(format!("LB_CONFIG: {key} is not text")),
+            },
+        };
+        let address = |name: &str, key: &str| -> Result<SocketAddr, String> {
+            let (origin, value) = told(name, key)?.ok_or_else(|| format!("LB_CONFIG: {key} is missing"))?;
+            value.parse().map_err(|_| format!("{origin} = {value} is not address:port"))
+        };
+        let sockets = match file.pointer("/limits/sockets") {
+            None | Some(Value::Null) => 1024,
+            Some(value) => value.as_u64().filter(|n| *n >= FEWEST_SOCKETS).ok_or_else(|| {
+                format!("LB_CONFIG: limits.sockets is not a number from {FEWEST_SOCKETS} up")
+            })?,
+        };
+        let known = match file.get("known") {
+            None | Some(Value::Null) => Inventory::default(),
+            Some(value) => Inventory::from_value(value).map_err(|e| format!("LB_CONFIG: known: {e}"))?,
+        };
+        let settings = file.get("settings").ok_or("LB_CONFIG: settings is missing")?;
+        let log = variable("LB_LOG").map_or(Ok(LevelFilter::INFO), |level| {
+            level
+                .parse()
+                .map_err(|_| format!("LB_LOG = {level} is none of off, error, warn, info, debug, trace"))
+        })?;
+        Ok(Config {
+            name: told("LB_NAME", "name")?.map_or_else(|| "gateway".to_string(), |(_, name)| name),
+            listen: address("LB_LISTEN", "listen")?,
+            discovery: address("LB_DISCOVERY", "discovery")?,
+            seed: seed(file.get("seed"))?,
+            sockets: usize::try_from(sockets).unwrap_or(usize::MAX),
+            known,
+            site: ternstack_settings::read(settings).map_err(|e| format!("LB_CONFIG: settings: {e}"))?,
+            log,
+        })
+    }
+}
+
+/// The seed is hexadecimal text or a whole number.
+fn seed(value: Option<&Value>) -> Result<u64, String> {
+    let read = match value {
+        Some(Value::String(text)) => u64::from_str_radix(text, 16).ok(),
+        Some(Value::Number(number)) => number.as_u64(),
+        None | Some(Value::Null) => return Err("LB_CONFIG: seed is missing".into()),
+        Some(_) => None,
+    };
+    read.ok_or_else(|| "LB_CONFIG: seed is neither 16 hexadecimal digits nor a whole number".into())
+}
--- /dev/null
+++ b/gateway/src/decide.rs
@@ -0,0 +1,376 @@
+//! The one task that owns the [`Balancer`], with its clock, its timers and the open messages. All else reaches
+//! it through its queue. It carries out what the module decides, and decides nothing itself.
+use crate::answer::Answer;
+use crate::clock::Clock;
+use crate::inventory::{Inventory, News, State};
+use crate::relay::{Envelope, Relay, RelayEnd, SouthSide};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use ternstack::{
+    Action, Arrival, AttemptEnd, Balancer, Event, ListKind, Member, Outcome, Readiness, Report, RequestId,
+    ServerId,
+};
+use ternstack_settings::{spread, Names, Site};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep_until, Instant};
+use tracing::{debug, error, info, warn};
+
+/// How many inputs may wait; who comes then waits too.
+pub const QUEUE: usize = 4096;
+
+/// The way to the deciding task.
+pub type Queue = mpsc::Sender<Input>;
+
+/// What the deciding task is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A client's message has been taken.
+    Message(Message),
+    /// Its client has left.
+    Gone(RequestId),
+    /// A relay has ended.
+    RelayEnd(RelayEnd),
+    /// Discovery has been heard, or lost.
+    Inventory(News),
+}
+
+/// A message, in terms that any front can give.
+#[derive(Debug)]
+pub struct Message {
+    /// Its number, used once.
+    pub id: RequestId,
+    /// The number of its class in the settings.
+    pub class: usize,
+    /// The number of its tenant in the settings.
+    pub tenant: Option<usize>,
+    /// When its client stops waiting.
+    pub deadline: Instant,
+    /// What goes on to a south side host.
+    pub envelope: Envelope,
+    /// Takes the one final answer.
+    pub answer_to: oneshot::Sender<Answer>,
+}
+
+/// A message that has no final answer yet, or still has relays out.
+struct Open {
+    answer_to: Option<oneshot::Sender<Answer>>,
+    deadline: Instant,
+    envelope: Envelope,
+    relays: Vec<Sent>,
+    out: usize,
+}
+
+struct Sent {
+    server: ServerId,
+    at: f64,
+    call_off: Option<oneshot::Sender<()>>,
+}
+
+enum Due {
+    Timer(u64),
+    Backstop(RequestId),
+}
+
+/// A south side host as last listed.
+struct Listed {
+    endpoint: Option<SocketAddr>,
+    boot_ms: f64,
+}
+
+/// The deciding task's state.
+pub struct Decider {
+    balancer: Balancer,
+    names: Names,
+    max_relays: usize,
+    max_open: usize,
+    back_off_ms: f64,
+    clock: Clock,
+    now: f64,
+    open: BTreeMap<RequestId, Open>,
+    unanswered: usize,
+    due: BTreeMap<(Instant, u64), Due>,
+    last_due: u64,
+    numbers: HashMap<String, ServerId>,
+    hosts: Vec<Listed>,
+    south: SouthSide,
+    watch: mpsc::Sender<()>,
+    events: VecDeque<Event>,
+}
+
+impl Decider {
+    /// A module that has been given the warm copy. `watch` takes its wishes to hear from discovery.
+    pub fn new(
+        site: Site, seed: u64, known: Inventory, south: SouthSide, watch: mpsc::Sender<()>,
+    ) -> Result<Self, String> {
+        let clock = Clock::start();
+        let mut decider = Decider {
+            max_relays: site.balancer.max_attempts as usize,
+            max_open: site.max_open,
+            back_off_ms: site.balancer.max_retry_after_ms,
+            names: site.names,
+            balancer: Balancer::new(site.balancer, seed).map_err(|e| e.to_string())?,
+            now: clock.now(),
+            clock,
+            open: BTreeMap::new(),
+            unanswered: 0,
+            due: BTreeMap::new(),
+            last_due: 0,
+            numbers: HashMap::new(),
+            hosts: Vec::new(),
+            south,
+            watch,
+            events: VecDeque::new(),
+        };
+        decider.list(ListKind::WarmCopy, known);
+        Ok(decider)
+    }
+
+    /// Decides until the queue closes.
+    pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) {
+        loop {
+            let next = self.due.first_key_value().map(|((at, _), _)| *at);
+            let due = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                input = inputs.recv() => match input {
+                    Some(input) => self.take(input),
+                    None => return,
+                },
+                () = due => {}
+            }
+            self.fire();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Message(message) => self.message(message),
+            Input::Gone(id) => self.gone(id),
+            Input::RelayEnd(end) => self.relay_end(end),
+            Input::Inventory(News::Lost) => {
+                self.feed(Event::List { kind: ListKind::Lost, members: Vec::new() });
+            }
+            Input::Inventory(News::Listed(inventory)) => {
+                let kind = if inventory.all { ListKind::Whole } else { ListKind::Changes };
+                self.list(kind, inventory);
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        self.events.push_back(event);
+        self.settle();
+    }
+
+    /// Hands the module what has happened, carries out its actions, and hands on what comes of them at once.
+    fn settle(&mut self) {
+        let mut actions = Vec::new();
+        while let Some(event) = self.events.pop_front() {
+            self.now = self.now.max(self.clock.now());
+            self.balancer.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { request, server, until } => self.send(request, server, until),
+            Action::Cancel { request, attempt } => {
+                let sent = self.open.get_mut(&request).and_then(|open| open.relays.get_mut(attempt as usize));
+                if let Some(call_off) = sent.and_then(|sent| sent.call_off.take()) {
+                    // A relay that has just ended takes no notice.
+                    let _ = call_off.send(());
+                }
+            }
+            Action::Refuse { request, retry_after_ms } => {
+                self.answer(request, Answer::BackOff { retry_after_ms });
+            }
+            Action::Fail { request } => self.answer(request, Answer::Failed),
+            Action::Timer { at, token } => self.set(self.clock.instant(at), Due::Timer(token)),
+            // The settings of this front never permit a probe.
+            Action::Probe { server } => debug!(server = server.0, "no probe is sent"),
+            // A full channel means that a watch is already wanted.
+            Action::Watch => drop(self.watch.try_send(())),
+            Action::Log(line) => info!("{line}"),
+        }
+    }
+
+    fn set(&mut self, at: Instant, due: Due) {
+        self.last_due += 1;
+        self.due.insert((at, self.last_due), due);
+    }
+
+    /// Handles what is due.
+    fn fire(&mut self) {
+        let now = Instant::now();
+        while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
+            match entry.remove() {
+                Due::Timer(token) => self.feed(Event::Timer { token }),
+                Due::Backstop(id) => self.backstop(id),
+            }
+        }
+    }
+
+    fn message(&mut self, message: Message) {
+        let Message { id, class, tenant, deadline, envelope, answer_to } = message;
+        if self.unanswered >= self.max_open {
+            // A client that has left needs no answer.
+            let _ = answer_to.send(Answer::BackOff { retry_after_ms: self.back_off_ms });
+            return;
+        }
+        self.unanswered += 1;
+        let answer_to = Some(answer_to);
+        self.open.insert(id, Open { answer_to, deadline, envelope, relays: Vec::new(), out: 0 });
+        self.set(deadline, Due::Backstop(id));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let patience_ms = left.as_secs_f64() * 1000.0;
+        self.feed(Event::Request(Arrival { request: id, class, tenant, patience_ms }));
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, until: f64) {
+        let until = self.clock.instant(until);
+        let Some(open) = self.open.get_mut(&id) else {
+            return error!(message = id.0, "the module sends what is not open");
+        };
+        let number = open.relays.len();
+        let until = until.min(open.deadline);
+        let host = self.hosts.get(server.0 as usize).and_then(|host| host.endpoint);
+        // Never sent: what has its answer, what has no time left, and what is one too many.
+        let sent =
+            host.filter(|_| open.answer_to.is_some() && number < self.max_relays && until > Instant::now());
+        let (call_off, called_off) = oneshot::channel();
+        open.relays.push(Sent { server, at: self.now, call_off: Some(call_off) });
+        open.out += 1;
+        if let Some(host) = sent {
+            let envelope = open.envelope.clone();
+            self.south.start(Relay { message: id, number: number as u32, host, envelope, until, called_off });
+        } else {
+            self.end(id, number as u32, Outcome::NotSent, 0.0, Report::default(), false);
+        }
+    }
+
+    fn relay_end(&mut self, end: RelayEnd) {
+        let RelayEnd { message: id, number, outcome, at, report, answer } = end;
+        let Some(sent) = self.open.get(&id).and_then(|open| open.relays.get(number as usize)) else {
+            return error!(message = id.0, number, "a relay ended that was never sent");
+        };
+        let latency_ms = (self.clock.at(at) - sent.at).max(0.0);
+        // The first 200 is the message's answer.
+        if let Some(host) = answer {
+            self.answer(id, Answer::Served(host));
+        }
+        let complete = self.open.get(&id).is_none_or(|open| open.answer_to.is_none());
+        self.end(id, number, outcome, latency_ms, report, complete);
+        self.settle();
+    }
+
+    /// Notes the end of a relay for the module, and forgets the message once nothing of it is left.
+    fn end(
+        &mut self, id: RequestId, number: u32, outcome: Outcome, latency_ms: f64, report: Report,
+        complete: bool,
+    ) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(sent) = open.relays.get(number as usize) else { return };
+        let (request, attempt, server) = (id, number, sent.server);
+        open.out -= 1;
+        self.events.push_back(Event::AttemptEnd(AttemptEnd {
+            request,
+            attempt,
+            server,
+            outcome,
+            latency_ms,
+            complete,
+            report,
+        }));
+        self.forget(id);
+    }
+
+    /// Gives the final answer, unless it has been given.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(answer_to) = self.open.get_mut(&id).and_then(|open| open.answer_to.take()) else { return };
+        self.unanswered -= 1;
+        // If the client has just left, nobody needs it.
+        let _ = answer_to.send(answer);
+        self.forget(id);
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| open.answer_to.is_none() && open.out == 0) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn gone(&mut self, id: RequestId) {
+        if let Some(open) = self.open.get_mut(&id).filter(|open| open.answer_to.is_some()) {
+            open.answer_to = None;
+            self.unanswered -= 1;
+            self.feed(Event::Gone { request: id });
+            self.forget(id);
+        }
+    }
+
+    /// Guards against a module that leaves a message unanswered: its client is told in time all the same.
+    fn backstop(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| open.answer_to.is_some()) {
+            error!(message = id.0, "no answer by the deadline");
+            self.answer(id, Answer::Overdue);
+            self.feed(Event::Gone { request: id });
+        }
+    }
+
+    fn number(&mut self, uid: &str) -> ServerId {
+        if let Some(id) = self.numbers.get(uid) {
+            return *id;
+        }
+        let id = ServerId(self.hosts.len() as u32);
+        self.numbers.insert(uid.to_string(), id);
+        self.hosts.push(Listed { endpoint: None, boot_ms: 0.0 });
+        id
+    }
+
+    /// Follows the inventory. South side hosts go by their uid; connections go with the address and the start.
+    fn list(&mut self, kind: ListKind, inventory: Inventory) {
+        let mut members = Vec::with_capacity(inventory.targets.len());
+        for host in inventory.targets {
+            let server = self.number(&host.uid);
+            let listed = &mut self.hosts[server.0 as usize];
+            let moved = listed.endpoint != host.endpoint || listed.boot_ms != host.boot_ms;
+            if let Some(old) = listed.endpoint.filter(|_| moved || host.state != State::Serving) {
+                self.south.forget(old);
+            }
+            *listed = Listed { endpoint: host.endpoint.or(listed.endpoint), boot_ms: host.boot_ms };
+            members.push(Member {
+                server,
+                zone: self.names.zone(&host.az),
+                cell: host.pod_group,
+                place: spread(&host.uid),
+                weight: host.capacity_hint,
+                readiness: match host.state {
+                    State::Serving => Readiness::Active,
+                    State::Draining => Readiness::Leaving,
+                    State::Deleted => Readiness::Left,
+                },
+                started_at: host.boot_ms,
+            });
+        }
+        if kind == ListKind::Whole {
+            for (n, host) in self.hosts.iter().enumerate() {
+                let listed = members.iter().any(|m| m.server.0 as usize == n);
+                if let Some(old) = host.endpoint.filter(|_| !listed) {
+                    self.south.forget(old);
+                }
+            }
+        }
+        if members.is_empty() && kind != ListKind::Changes {
+            warn!("the inventory is empty");
+        }
+        self.feed(Event::List { kind, members });
+    }
+}
--- /dev/null
+++ b/gateway/src/intake.rs
@@ -0,0 +1,344 @@
+//! The platform's front: the listener, clients' connections, and HTTP requests made into messages.
+//!
+//! Nothing of HTTP goes further than the envelope's opaque bytes, so that another front could stand beside
+//! this one and hand the same kind of [`Message`] to the same queue.
+use crate::answer::{Answer, Plain, Wording};
+use crate::decide::{Input, Message, Queue};
+use crate::http1::{Ask, Reader, Whole, MAX_BODY};
+use crate::relay::Envelope;
+use bytes::{Buf, BytesMut};
+use std::io;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use ternstack::{Effect, RequestId};
+use ternstack_settings::Site;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tracing::{debug, warn};
+
+/// A message must have come whole this long after its first byte.
+const READ_TIME: Duration = Duration::from_secs(5);
+/// An answer must have been taken this long after it was written.
+const WRITE_TIME: Duration = Duration::from_secs(5);
+/// A client's connection may stand idle for so long.
+const IDLE_TIME: Duration = Duration::from_secs(75);
+/// After a bad message, what the client is still sending is read for so long, lest its answer be lost.
+const LINGER: Duration = Duration::from_millis(500);
+/// The most bytes that are read in that time.
+const LINGER_BYTES: usize = 256 * 1024;
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// So many clients past the most are taken in for a back-off answer.
+const SPARE: usize = 24;
+
+const ID: &str = "X-Correlation-Id";
+const CLASS: &str = "X-Service-Class";
+const TENANT: &str = "X-Account";
+const TIME_LEFT: &str = "X-Time-Left-Ms";
+const KEY: &str = "Idempotency-Key";
+
+/// How far the gateway's end has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// It serves what still comes, one message a connection.
+    Stopping,
+    /// It ends connections that stand idle.
+    Closing,
+}
+
+/// What all connections of this front share.
+pub struct Intake {
+    site: Site,
+    queue: Queue,
+    phase: watch::Receiver<Phase>,
+    last: AtomicU64,
+    most: usize,
+    clients: Arc<Semaphore>,
+    spare: Arc<Semaphore>,
+    make_room: Notify,
+    back_off_ms: f64,
+}
+
+/// What becomes of a connection after an answer.
+#[derive(PartialEq)]
+enum Next {
+    Keep,
+    Close,
+    Linger,
+}
+
+impl Intake {
+    /// A front for at most `clients` connections.
+    pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, clients: usize) -> Arc<Self> {
+        let most = clients.saturating_sub(SPARE).max(1);
+        Arc::new(Intake {
+            most,
+            back_off_ms: site.balancer.max_retry_after_ms,
+            site,
+            queue,
+            phase,
+            last: AtomicU64::new(0),
+            clients: Arc::new(Semaphore::new(most)),
+            spare: Arc::new(Semaphore::new(SPARE)),
+            make_room: Notify::new(),
+        })
+    }
+
+    /// Accepts clients for as long as the gateway runs.
+    pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            let (mut permit, mut full) = self.admit().await;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // Others may have left meanwhile.
+                    if let (true, Ok(free)) = (full, self.clients.clone().try_acquire_owned()) {
+                        (permit, full) = (Some(free), false);
+                    }
+                    let intake = self.clone();
+                    tokio::spawn(async move {
+                        if let Err(e) = intake.serve(stream, full).await {
+                            debug!("client: {e}");
+                        }
+                        drop(permit);
+                    });
+                }
+                // Guards against a busy loop while descriptors are short (EMFILE): others go on, and end.
+                Err(e) => {
+                    warn!("cannot accept: {e}");
+                    self.make_room.notify_one();
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Waits until another connection may be held; true if it is one past the most. Guards against clients
+    /// that wait unheard: the connection idle for longest makes room, and if there is none, a few more are
+    /// taken in and told to come back later.
+    async fn admit(&self) -> (Option<OwnedSemaphorePermit>, bool) {
+        if let Ok(permit) = self.clients.clone().try_acquire_owned() {
+            return (Some(permit), false);
+        }
+        self.make_room.notify_one();
+        tokio::task::yield_now().await;
+        if let Ok(permit) = self.clients.clone().try_acquire_owned() {
+            return (Some(permit), false);
+        }
+        (self.spare.clone().acquire_owned().await.ok(), true)
+    }
+
+    /// Waits until no client's connection is left.
+    pub async fn empty(&self) {
+        // The accepting task holds one permit for the client it waits for.
+        while self.clients.available_permits() + self.spare.available_permits() + 1 < self.most + SPARE {
+            sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
+    fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Serves a client until one side ends the connection; `full` if it is to get a back-off answer only.
+    async fn serve(&self, mut stream: TcpStream, full: bool) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut reader = Reader::<Ask>::new(MAX_BODY);
+        let mut phase = self.phase.clone();
+        loop {
+            if reader.is_idle() {
+                let first = tokio::select! {
+                    biased;
+                    read = stream.read_buf(reader.buffer()) => read?,
+                    _ = phase.wait_for(|phase| *phase == Phase::Closing) => 0,
+                    () = self.make_room.notified() => 0,
+                    () = sleep(if full { READ_TIME } else { IDLE_TIME }) => 0,
+                };
+                if first == 0 {
+                    return Ok(());
+                }
+            }
+            let asked = timeout(READ_TIME, read(&mut stream, &mut reader)).await;
+            let (wording, next) = match asked {
+                Ok(Ok(Some(ask))) => {
+                    let keep_alive = ask.keep_alive && !full;
+                    let Some(answered) = self.answered(&ask, &mut stream, &mut reader, full).await? else {
+                        return Ok(());
+                    };
+                    // The phase may have changed while the message was open.
+                    let keep_alive = keep_alive && self.phase() == Phase::Serving;
+                    match answered {
+                        Ok(answer) => {
+                            (answer.word(keep_alive), if keep_alive { Next::Keep } else { Next::Close })
+                        }
+                        Err(plain @ (Plain::Ready | Plain::Stopping | Plain::NotFound)) => {
+                            (plain.word(keep_alive), if keep_alive { Next::Keep } else { Next::Close })
+                        }
+                        Err(plain) => (plain.word(false), Next::Linger),
+                    }
+                }
+                Ok(Ok(None)) => return Ok(()),
+                Ok(Err(ReadError::Malformed(malformed))) => {
+                    (Plain::from(malformed).word(false), Next::Linger)
+                }
+                Ok(Err(ReadError::Io(e))) => return Err(e),
+                Err(_) => (Plain::TooSlow.word(false), Next::Linger),
+            };
+            write(&mut stream, wording).await?;
+            match next {
+                Next::Keep => {}
+                Next::Close => return stream.shutdown().await,
+                Next::Linger => return linger(&mut stream).await,
+            }
+        }
+    }
+
+    /// The answer to a request; `None` if its client has left.
+    async fn answered(
+        &self, ask: &Whole<Ask>, stream: &mut TcpStream, reader: &mut Reader<Ask>, full: bool,
+    ) -> io::Result<Option<Result<Answer, Plain>>> {
+        let path = ask.target().split(|b| *b == b'?').next().unwrap_or_default();
+        match (path, ask.method()) {
+            (b"/ready", b"GET") if self.phase() == Phase::Serving => return Ok(Some(Err(Plain::Ready))),
+            (b"/ready", b"GET") => return Ok(Some(Err(Plain::Stopping))),
+            (b"/api", b"GET" | b"POST") => {}
+            (b"/ready" | b"/api", _) => return Ok(Some(Err(Plain::Method))),
+            _ => return Ok(Some(Err(Plain::NotFound))),
+        }
+        let (answer_to, answer) = oneshot::channel();
+        let message = match self.message(ask, answer_to) {
+            Ok(message) => message,
+            Err(why) => return Ok(Some(Err(Plain::Bad(why)))),
+        };
+        if full {
+            return Ok(Some(Ok(Answer::BackOff { retry_after_ms: self.back_off_ms })));
+        }
+        let id = message.id;
+        if self.queue.send(Input::Message(message)).await.is_err() {
+            return Ok(Some(Ok(Answer::Failed)));
+        }
+        tokio::select! {
+            biased;
+            answer = answer => Ok(Some(Ok(answer.unwrap_or(Answer::Failed)))),
+            () = left(stream, reader) => {
+                // The queue only closes when the gateway ends.
+                let _ = self.queue.send(Input::Gone(id)).await;
+                Ok(None)
+            }
+        }
+    }
+
+    /// Makes a message of a request: takes out what decisions need, and leaves the rest as it came.
+    fn message(&self, ask: &Whole<Ask>, answer_to: oneshot::Sender<Answer>) -> Result<Message, &'static str> {
+        let fields = &ask.fields;
+        if fields.all(ID).count() != 1 || fields.get(ID).is_none_or(<[u8]>::is_empty) {
+            return Err("X-Correlation-Id is missing or given twice");
+        }
+        let class = fields.text(CLASS).and_then(|name| self.site.names.class(name));
+        let class = class.ok_or("X-Service-Class is missing or not in the settings")?;
+        let rules = &self.site.balancer.classes[class];
+        // Without its key, no host could drop a repeat.
+        if rules.effect == Effect::Keyed && fields.get(KEY).is_none_or(<[u8]>::is_empty) {
+            return Err("Idempotency-Key is missing");
+        }
+        let left_ms = match fields.get(TIME_LEFT) {
+            None => rules.deadline_ms,
+            Some(_) => {
+                let told = fields.text(TIME_LEFT).and_then(|text| text.parse::<f64>().ok());
+                let told = told.filter(|ms| ms.is_finite() && *ms >= 0.0);
+                // Nobody waits longer than the class allows for all tries together.
+                told.ok_or("X-Time-Left-Ms is no time")?.min(rules.deadline_ms)
+            }
+        };
+        let tenant = fields.text(TENANT).and_then(|name| self.site.names.tenant(name));
+        Ok(Message {
+            id: RequestId(self.last.fetch_add(1, Ordering::Relaxed)),
+            class,
+            tenant,
+            deadline: Instant::now() + Duration::from_secs_f64(left_ms / 1000.0),
+            envelope: envelope(ask),
+            answer_to,
+        })
+    }
+}
+
+/// What goes on: method, path, query, end-to-end fields and body as they came.
+fn envelope(ask: &Whole<Ask>) -> Envelope {
+    let mut before = BytesMut::with_capacity(512);
+    for part in [ask.method(), b" ", ask.target(), b" HTTP/1.1\r\n"] {
+        before.extend_from_slice(part);
+    }
+    // Guards against a `Connection` field that names the id: no host gets a message without it.
+    ask.fields.write_end_to_end(&mut before, &[TIME_LEFT], &[ID, KEY]);
+    before.extend_from_slice(TIME_LEFT.as_bytes());
+    before.extend_from_slice(b": ");
+    let mut after = BytesMut::from("\r\n");
+    if !ask.body.is_empty() || ask.method() == b"POST" {
+        after.extend_from_slice(format!("Content-Length: {}\r\n", ask.body.len()).as_bytes());
+    }
+    after.extend_from_slice(b"\r\n");
+    after.extend_from_slice(&ask.body);
+    Envelope { before: before.freeze(), after: after.freeze() }
+}
+
+enum ReadError {
+    Io(io::Error),
+    Malformed(crate::http1::Malformed),
+}
+
+/// Reads the next request; `None` if the client ends the connection before it is whole.
+async fn read(stream: &mut TcpStream, reader: &mut Reader<Ask>) -> Result<Option<Whole<Ask>>, ReadError> {
+    let mut continued = false;
+    loop {
+        if let Some(ask) = reader.next(false).map_err(ReadError::Malformed)? {
+            return Ok(Some(ask));
+        }
+        let expects = |f: &crate::http1::Fields| {
+            f.get("expect").is_some_and(|e| e.eq_ignore_ascii_case(b"100-continue"))
+        };
+        if !continued && reader.awaiting_body().is_some_and(expects) {
+            continued = true;
+            stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await.map_err(ReadError::Io)?;
+        }
+        if stream.read_buf(reader.buffer()).await.map_err(ReadError::Io)? == 0 {
+            return Ok(None);
+        }
+    }
+}
+
+/// Waits until the client has left. What it sends early is kept, up to what a message may hold.
+async fn left(stream: &mut TcpStream, reader: &mut Reader<Ask>) {
+    while reader.buffer().len() < MAX_BODY {
+        match stream.read_buf(reader.buffer()).await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+    std::future::pending().await
+}
+
+async fn write(stream: &mut TcpStream, (head, body): Wording) -> io::Result<()> {
+    let mut bytes = head.chain(body);
+    timeout(WRITE_TIME, stream.write_all_buf(&mut bytes)).await?
+}
+
+/// Ends the connection after a bad message. Guards against a reset that would overtake the answer while the
+/// client is still sending.
+async fn linger(stream: &mut TcpStream) -> io::Result<()> {
+    stream.shutdown().await?;
+    let until = Instant::now() + LINGER;
+    let mut read = 0;
+    let mut bytes = BytesMut::with_capacity(4096);
+    while read < LINGER_BYTES {
+        bytes.clear();
+        match timeout_at(until, stream.read_buf(&mut bytes)).await {
+            Ok(Ok(more)) if more > 0 => read += more,
+            _ => break,
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/gateway/src/inventory.rs
@@ -0,0 +1,173 @@
+//! Discovery's watch: asks for the inventory, follows its changes, and hands on what it reads.
+use crate::decide::{Input, Queue};
+use crate::http1::{Reader, Status, Whole};
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tracing::{debug, info, warn};
+
+/// How long a watch call may wait at discovery. Short, since what a broken call should have told counts as told
+/// soon after that wait; yet long enough for few calls.
+const WAIT_MS: u64 = 6_000;
+/// How much longer than its wait a call may take before discovery counts as silent.
+const GRACE: Duration = Duration::from_millis(1_800);
+/// The most bytes of a list: far more than any fleet needs, far less than the memory.
+const MAX_LIST: usize = 1 << 20;
+
+/// What discovery says of a south side host's readiness.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum State {
+    /// Takes work.
+    Serving,
+    /// Finishes what it holds.
+    Draining,
+    /// Gone, among changes only.
+    Deleted,
+}
+
+/// A south side host as discovery lists it. Fields that are not known here are skipped.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct SouthSideHost {
+    /// Its name, the same at every gateway and after a restart.
+    pub uid: String,
+    /// Where it listens for this gateway; what is gone may have none.
+    pub endpoint: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// Its cell.
+    #[serde(default)]
+    pub pod_group: u32,
+    /// Whether it takes work.
+    pub state: State,
+    /// Its size in relation to the others.
+    #[serde(default = "one")]
+    pub capacity_hint: f64,
+    /// Its last start as Unix time in ms; 0 for long ago.
+    #[serde(default)]
+    pub boot_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// Discovery's list, or the changes in it.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct Inventory {
+    /// Its version.
+    pub rev: u64,
+    /// The whole list, not changes.
+    pub all: bool,
+    /// The entries.
+    pub targets: Vec<SouthSideHost>,
+}
+
+impl Inventory {
+    /// Reads a list from JSON text.
+    pub fn from_slice(text: &[u8]) -> Result<Self, String> {
+        serde_json::from_slice(text).map_err(|e| e.to_string()).and_then(Self::checked)
+    }
+
+    /// Reads a list from a JSON value.
+    pub fn from_value(value: &Value) -> Result<Self, String> {
+        Self::deserialize(value).map_err(|e| e.to_string()).and_then(Self::checked)
+    }
+
+    /// Guards against a list that is only half understood: a south side host that serves has an address.
+    fn checked(self) -> Result<Self, String> {
+        let nowhere = |h: &&SouthSideHost| h.state != State::Deleted && h.endpoint.is_none();
+        match self.targets.iter().find(nowhere) {
+            Some(host) => Err(format!("targets: {}: endpoint is missing", host.uid)),
+            None => Ok(self),
+        }
+    }
+}
+
+/// News for the module.
+#[derive(Clone, Debug, PartialEq)]
+pub enum News {
+    /// The list, or changes in it.
+    Listed(Inventory),
+    /// A call failed: the old list stands, and the module says when to ask again.
+    Lost,
+}
+
+/// Watches discovery each time it is told to, until a call fails.
+pub async fn follow(
+    discovery: SocketAddr, dial_timeout: Duration, mut rev: u64, mut asked: mpsc::Receiver<()>, queue: Queue,
+) {
+    while asked.recv().await.is_some() {
+        // What was asked for while a watch was on is answered by the watch that begins now.
+        while asked.try_recv().is_ok() {}
+        match watch(discovery, dial_timeout, &mut rev, &queue).await {
+            Ok(()) => return,
+            Err(problem) => {
+                warn!(rev, "discovery: {problem}");
+                if queue.send(Input::Inventory(News::Lost)).await.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// One watch, over one connection, for as long as its calls succeed; fine once nobody listens any more.
+async fn watch(
+    discovery: SocketAddr, dial_timeout: Duration, rev: &mut u64, queue: &Queue,
+) -> Result<(), String> {
+    let mut stream = dial(discovery, dial_timeout).await?;
+    let mut reader = Reader::<Status>::new(MAX_LIST);
+    info!(rev = *rev, "watching discovery");
+    loop {
+        let query = if *rev > 0 { format!("?after={rev}&wait_ms={WAIT_MS}") } else { String::new() };
+        let text = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
+        // Guards against discovery falling silent: each call has its own deadline.
+        let call = timeout(Duration::from_millis(WAIT_MS) + GRACE, call(&mut stream, &mut reader, &text));
+        let answer = call.await.map_err(|_| "no answer in time")??;
+        if answer.start != Status(200) {
+            return Err(format!("status {}", answer.start.0));
+        }
+        let inventory = Inventory::from_slice(&answer.body).map_err(|e| format!("malformed list: {e}"))?;
+        debug!(rev = inventory.rev, all = inventory.all, entries = inventory.targets.len(), "inventory");
+        *rev = inventory.rev;
+        if queue.send(Input::Inventory(News::Listed(inventory))).await.is_err() {
+            return Ok(());
+        }
+        if !answer.keep_alive || !reader.is_idle() {
+            reader = Reader::new(MAX_LIST);
+            stream = dial(discovery, dial_timeout).await?;
+        }
+    }
+}
+
+async fn dial(discovery: SocketAddr, dial_timeout: Duration) -> Result<TcpStream, String> {
+    let dialled = timeout(dial_timeout, TcpStream::connect(discovery)).await;
+    let stream =
+        dialled.map_err(|_| "cannot connect in time")?.map_err(|e| format!("cannot connect: {e}"))?;
+    stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    Ok(stream)
+}
+
+async fn call(
+    stream: &mut TcpStream, reader: &mut Reader<Status>, text: &str,
+) -> Result<Whole<Status>, String> {
+    stream.write_all(text.as_bytes()).await.map_err(|e| format!("cannot ask: {e}"))?;
+    let mut ended = false;
+    loop {
+        match reader.next(ended) {
+            Ok(Some(answer)) => return Ok(answer),
+            Ok(None) if ended => return Err("the connection ended".into()),
+            Ok(None) => {}
+            Err(e) => return Err(format!("garbage: {e:?}")),
+        }
+        let read = stream.read_buf(reader.buffer()).await.map_err(|e| format!("connection: {e}"))?;
+        ended = read == 0;
+    }
+}
--- /dev/null
+++ b/gateway/src/relay.rs
@@ -0,0 +1,307 @@
+//! Relays: connections to south side hosts, sending, and how each relay ended.
+//!
+//! A connection is a task that carries one relay at a time. While it is idle it waits for the next one, for the
+//! host to close, or for its time to be up; the most recently used idle connection is taken first.
+use crate::decide::{Input, Queue};
+use crate::http1::{Fields, Reader, Status, Whole, MAX_BODY};
+use bytes::{Buf, Bytes};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use ternstack::{Outcome, Report, RequestId};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::{sleep_until, timeout_at, Instant};
+
+/// A connection is closed after this part of the time in which the host would close it.
+const IDLE_PART: f64 = 0.9;
+/// A host's load report; it ends at the gateway.
+pub const LOAD: &str = "X-Backend-Load";
+/// Marks an answer of 503 or 504 to what has not been run.
+const NOT_RUN: &str = "X-Unprocessed";
+
+/// A message as it goes on: opaque bytes, in which only the time left is filled in.
+#[derive(Clone, Debug, Default)]
+pub struct Envelope {
+    /// What stands before the time left.
+    pub before: Bytes,
+    /// What stands after it.
+    pub after: Bytes,
+}
+
+/// One attempt to have a message served by a south side host.
+#[derive(Debug)]
+pub struct Relay {
+    /// The message.
+    pub message: RequestId,
+    /// The relay's number among the message's, in send order.
+    pub number: u32,
+    /// Where it goes.
+    pub host: SocketAddr,
+    /// What is sent.
+    pub envelope: Envelope,
+    /// When it is given up.
+    pub until: Instant,
+    /// Fires when it is called off.
+    pub called_off: oneshot::Receiver<()>,
+}
+
+/// How a relay ended; there is exactly one for each.
+#[derive(Debug)]
+pub struct RelayEnd {
+    /// The message.
+    pub message: RequestId,
+    /// The relay's number.
+    pub number: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// When.
+    pub at: Instant,
+    /// The load report that came along.
+    pub report: Report,
+    /// The host's answer, if it is what the client wants.
+    pub answer: Option<Whole<Status>>,
+}
+
+/// An idle connection, as the pool sees it.
+#[derive(Debug)]
+struct Idle {
+    number: u64,
+    next: oneshot::Sender<Relay>,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    idle: HashMap<SocketAddr, Vec<Idle>>,
+    open: usize,
+    last: u64,
+}
+
+/// The way to the south side: all connections to its hosts.
+#[derive(Clone, Debug)]
+pub struct SouthSide {
+    pool: Arc<Mutex<Pool>>,
+    queue: Queue,
+    most: usize,
+    idle_for: Duration,
+    dial_timeout: Duration,
+}
+
+impl SouthSide {
+    /// At most `most` connections, each closed when it has been idle for a little less than `idle_ms`.
+    pub fn new(queue: Queue, most: usize, idle_ms: f64, dial_timeout: Duration) -> Self {
+        let idle_for = Duration::from_secs_f64((idle_ms * IDLE_PART / 1000.0).min(86_400.0));
+        SouthSide { pool: Arc::default(), queue, most, idle_for, dial_timeout }
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sends a relay on its way: over an idle connection if there is one, else over a new one.
+    pub fn start(&self, mut relay: Relay) {
+        loop {
+            let idle = self.pool().idle.get_mut(&relay.host).and_then(Vec::pop);
+            let Some(idle) = idle else { break };
+            // A connection that has just closed gives the relay back, with nothing sent.
+            match idle.next.send(relay) {
+                Ok(()) => return,
+                Err(back) => relay = back,
+            }
+        }
+        let slot = self.slot();
+        let south = self.clone();
+        tokio::spawn(async move {
+            match slot {
+                Some(slot) => carry(south, slot, relay).await,
+                None => south.end(&relay, Outcome::NotSent, None).await,
+            }
+        });
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, host: SocketAddr) {
+        self.pool().idle.remove(&host);
+    }
+
+    /// Counts a new connection. Guards against running out of sockets: past the most, the connection that has
+    /// been idle for longest makes room; if none is idle, nothing can be sent.
+    fn slot(&self) -> Option<Slot> {
+        let mut pool = self.pool();
+        if pool.open >= self.most {
+            let oldest =
+                pool.idle.iter().filter_map(|(host, row)| Some((row.first()?.number, *host))).min()?;
+            let row = pool.idle.get_mut(&oldest.1)?;
+            drop(row.remove(0));
+        }
+        pool.open += 1;
+        Some(Slot(self.clone()))
+    }
+
+    /// Offers an idle connection; what it is to carry next comes out of the receiver.
+    fn offer(&self, host: SocketAddr) -> (u64, oneshot::Receiver<Relay>) {
+        let (next, relay) = oneshot::channel();
+        let mut pool = self.pool();
+        pool.last += 1;
+        let number = pool.last;
+        pool.idle.entry(host).or_default().push(Idle { number, next });
+        (number, relay)
+    }
+
+    fn withdraw(&self, host: SocketAddr, number: u64) {
+        let mut pool = self.pool();
+        if let Some(row) = pool.idle.get_mut(&host) {
+            row.retain(|idle| idle.number != number);
+            if row.is_empty() {
+                pool.idle.remove(&host);
+            }
+        }
+    }
+
+    async fn end(&self, relay: &Relay, outcome: Outcome, answer: Option<Whole<Status>>) {
+        let report = answer.as_ref().map(|a| read_report(&a.fields)).unwrap_or_default();
+        let (message, number, at) = (relay.message, relay.number, Instant::now());
+        let answer = answer.filter(|_| outcome == Outcome::Served);
+        let end = RelayEnd { message, number, outcome, at, report, answer };
+        // The queue only closes when the gateway ends.
+        let _ = self.queue.send(Input::RelayEnd(end)).await;
+    }
+}
+
+/// A counted connection.
+struct Slot(SouthSide);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.pool().open -= 1;
+    }
+}
+
+/// A connection's life: dialled for a first relay, it carries relays until one leaves it unfit for more.
+async fn carry(south: SouthSide, _slot: Slot, mut relay: Relay) {
+    let mut stream = match dial(&south, &mut relay).await {
+        Ok(stream) => stream,
+        Err(outcome) => return south.end(&relay, outcome, None).await,
+    };
+    loop {
+        let mut reader = Reader::new(MAX_BODY);
+        let (outcome, answer) = exchange(&mut stream, &mut reader, &mut relay).await;
+        let fit = answer.as_ref().is_some_and(|a| a.keep_alive) && reader.is_idle();
+        // Offered before the end is told: what the module sends next may take this connection.
+        let offered = fit.then(|| south.offer(relay.host));
+        south.end(&relay, outcome, answer).await;
+        relay.envelope = Envelope::default(); // An idle connection holds no message's bytes.
+        drop(reader);
+        let Some((number, mut next)) = offered else { return };
+        let up = Instant::now() + south.idle_for;
+        relay = tokio::select! {
+            biased;
+            next = &mut next => match next {
+                Ok(relay) => relay,
+                Err(_) => return, // Closed to make room, or since the host left.
+            },
+            // Bytes or an end: either way the connection is no longer fit.
+            _ = stream.readable() => return south.withdraw(relay.host, number),
+            _ = sleep_until(up) => return south.withdraw(relay.host, number),
+        };
+        // Guards against a host that closed a moment ago: nothing is sent yet, so this relay takes another
+        // connection, and nothing is sent twice.
+        if !matches!(stream.try_read(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock) {
+            return south.start(relay);
+        }
+    }
+}
+
+/// Opens a connection; the outcome if none comes up.
+async fn dial(south: &SouthSide, relay: &mut Relay) -> Result<TcpStream, Outcome> {
+    let until = relay.until.min(Instant::now() + south.dial_timeout);
+    let dialled = tokio::select! {
+        biased;
+        _ = &mut relay.called_off => return Err(Outcome::CalledOff),
+        dialled = timeout_at(until, TcpStream::connect(relay.host)) => dialled,
+    };
+    let stream = match dialled {
+        Ok(Ok(stream)) => stream,
+        // Guards against blaming the host for this machine's lack of descriptors or ports.
+        Ok(Err(e)) if is_ours(&e) => return Err(Outcome::NotSent),
+        _ => return Err(Outcome::NoConnection),
+    };
+    stream.set_nodelay(true).map_err(|_| Outcome::NoConnection)?;
+    Ok(stream)
+}
+
+/// Whether an error tells of this machine and not of the other: `EMFILE`, `ENFILE`, `EADDRNOTAVAIL`,
+/// `ENOBUFS`, `ENOMEM`.
+pub fn is_ours(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(24 | 23 | 99 | 105 | 12))
+}
+
+/// Sends a relay and waits for its answer, until it is given up or called off.
+async fn exchange(
+    stream: &mut TcpStream, reader: &mut Reader<Status>, relay: &mut Relay,
+) -> (Outcome, Option<Whole<Status>>) {
+    let mut written = false;
+    let until = relay.until;
+    tokio::select! {
+        biased;
+        _ = &mut relay.called_off => (Outcome::CalledOff, None),
+        end = send_and_read(stream, reader, &relay.envelope, until, &mut written) => end,
+        // Without its last byte the host cannot have started on it.
+        _ = sleep_until(until) => (if written { Outcome::NoAnswer } else { Outcome::NoConnection }, None),
+    }
+}
+
+async fn send_and_read(
+    stream: &mut TcpStream, reader: &mut Reader<Status>, envelope: &Envelope, until: Instant,
+    written: &mut bool,
+) -> (Outcome, Option<Whole<Status>>) {
+    let left = until.saturating_duration_since(Instant::now()).as_millis();
+    let mut bytes =
+        envelope.before.clone().chain(Bytes::from(left.to_string())).chain(envelope.after.clone());
+    if stream.write_all_buf(&mut bytes).await.is_err() {
+        return (Outcome::NoConnection, None);
+    }
+    *written = true;
+    let mut ended = false;
+    loop {
+        match reader.next(ended) {
+            Ok(Some(answer)) => return (outcome(&answer), Some(answer)),
+            Ok(None) if ended => return (Outcome::ConnectionLost, None),
+            Ok(None) => {}
+            Err(_) => return (Outcome::ServerError, None),
+        }
+        match stream.read_buf(reader.buffer()).await {
+            Ok(read) => ended = read == 0,
+            Err(_) => return (Outcome::ConnectionLost, None),
+        }
+    }
+}
+
+/// What an answer says of whether the message has run.
+fn outcome(answer: &Whole<Status>) -> Outcome {
+    match answer.start.0 {
+        200 => Outcome::Served,
+        503 | 504 if answer.fields.get(NOT_RUN) == Some(b"1") => Outcome::TurnedAway,
+        _ => Outcome::ServerError,
+    }
+}
+
+/// Reads a load report. Its names are the socket's own, and what cannot be read is left out: a report is
+/// advice, not part of the answer.
+fn read_report(fields: &Fields) -> Report {
+    let mut report = Report::default();
+    for pair in fields.text(LOAD).unwrap_or("").split(',') {
+        let Some((name, value)) = pair.split_once('=') else { continue };
+        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
+        match name.trim() {
+            "util" => report.utilization = value,
+            "qps" => report.throughput = value,
+            "queue" => report.backlog = value,
+            _ => {}
+        }
+    }
+    report
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,9 +1,28 @@
-//! The start message's settings, and the names that come with them.
+//! The one place where a deployment's settings are read, checked and given their defaults.
+//!
+//! The adapter gets them with its start message, the gateway in its configuration file; names and units are
+//! the same. An error names the faulty key by its path below the settings, such as `limits.max_open`.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use serde_json::Value;
 use ternstack::{Class, Effect, Group, Reports, Settings, Tenant};
 
+/// All that the settings tell: what the balancer needs, the names, and what only sockets need.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the balancer needs, checked.
+    pub balancer: Settings,
+    /// The names behind its numbers.
+    pub names: Names,
+    /// A connection that is not up after this has failed, in ms.
+    pub dial_timeout_ms: f64,
+    /// How many requests may be open at once.
+    pub max_open: usize,
+}
+
 /// Names from the settings, in their order; names met later are numbered after them.
+#[derive(Clone, Debug)]
 pub struct Names {
     classes: Vec<String>,
     tenants: Vec<String>,
@@ -22,15 +41,23 @@
     at as u32
 }
 
+/// FNV-1a: the same number for a host's name at every gateway.
+pub fn spread(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
 impl Names {
+    /// The number of a class.
     pub fn class(&self, name: &str) -> Option<usize> {
         place(&self.classes, name)
     }
 
+    /// The number of a tenant.
     pub fn tenant(&self, name: &str) -> Option<usize> {
         place(&self.tenants, name)
     }
 
+    /// The number of a zone, a new one if it has not been met.
     pub fn zone(&mut self, name: &str) -> u32 {
         number(&mut self.zones, name)
     }
@@ -52,7 +79,7 @@
     }
 
     fn required(&self, name: &str) -> Result<f64, String> {
-        let value = self.get(name).ok_or_else(|| format!("INIT: conf: {}{name} is missing", self.path))?;
+        let value = self.get(name).ok_or_else(|| format!("{}{name} is missing", self.path))?;
         value.as_f64().ok_or_else(|| self.bad(name, "a number"))
     }
 
@@ -77,7 +104,7 @@
     }
 
     fn bad(&self, name: &str, wanted: &str) -> String {
-        format!("INIT: conf: {}{name} is not {wanted}", self.path)
+        format!("{}{name} is not {wanted}", self.path)
     }
 }
 
@@ -86,13 +113,13 @@
         "safe" => Effect::Safe,
         "keyed" => Effect::Keyed,
         "unsafe" => Effect::Unsafe,
-        other => return Err(format!("INIT: conf: classes[].effect={other} is not known")),
+        other => return Err(format!("classes[].effect={other} is not known")),
     };
     let group = match part.text("group", "cell")?.as_str() {
         "all" => Group::All,
         "zone" => Group::Zone,
         "cell" => Group::Cell,
-        other => return Err(format!("INIT: conf: classes[].group={other} is not known")),
+        other => return Err(format!("classes[].group={other} is not known")),
     };
     let deadline_ms = part.required("deadline_ms")?;
     Ok(Class {
@@ -106,18 +133,19 @@
     })
 }
 
-/// Reads the settings of an `INIT` line.
-pub fn read(conf: &str) -> Result<(Settings, Names), String> {
-    let root: Value =
-        serde_json::from_str(conf).map_err(|e| format!("INIT: conf is not readable JSON: {e}"))?;
+/// Reads the settings from their JSON object.
+pub fn read(conf: &Value) -> Result<Site, String> {
+    if !conf.is_object() {
+        return Err("settings are not a JSON object".into());
+    }
     let empty = Value::Object(serde_json::Map::new());
 
-    let limits = Part { value: root.get("limits").unwrap_or(&empty), path: "limits." };
-    let safety = Part { value: root.get("safety").unwrap_or(&empty), path: "safety." };
-    let report = Part { value: root.get("report").unwrap_or(&empty), path: "report." };
-    let deductions = Part { value: root.get("deductions").unwrap_or(&empty), path: "deductions." };
-    let mix = Part { value: root.get("result_mix").unwrap_or(&empty), path: "result_mix." };
-    let root = Part { value: &root, path: "" };
+    let limits = Part { value: conf.get("limits").unwrap_or(&empty), path: "limits." };
+    let safety = Part { value: conf.get("safety").unwrap_or(&empty), path: "safety." };
+    let report = Part { value: conf.get("report").unwrap_or(&empty), path: "report." };
+    let deductions = Part { value: conf.get("deductions").unwrap_or(&empty), path: "deductions." };
+    let mix = Part { value: conf.get("result_mix").unwrap_or(&empty), path: "result_mix." };
+    let root = Part { value: conf, path: "" };
     let mut classes = Vec::new();
     for value in root.list("classes")? {
         classes.push(read_class(&Part { value, path: "classes[]." })?);
@@ -162,5 +190,14 @@
         nines: mix.number("nines", 0.0)?,
         top_nines: mix.get("top_nines").map(|_| mix.required("top_nines")).transpose()?,
     };
-    Ok((settings, names))
+    settings.check().map_err(|e| e.to_string())?;
+    let dial_timeout_ms = limits.number("dial_timeout_ms", 250.0)?;
+    if !(dial_timeout_ms.is_finite() && dial_timeout_ms > 0.0) {
+        return Err("limits.dial_timeout_ms must be above 0".into());
+    }
+    let max_open = limits.number("max_open", 20_000.0)?;
+    if max_open < 1.0 {
+        return Err("limits.max_open must be 1 or more".into());
+    }
+    Ok(Site { balancer: settings, names, dial_timeout_ms, max_open: max_open as usize })
 }
