--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -26,11 +26,11 @@
         self.at(Instant::now())
     }
 
-    /// The instant of a time, rounded up to a whole microsecond so that no timer fires early. A time more
-    /// than a day ahead counts as a day ahead, lest it overflow.
+    /// The instant of a time, rounded up to a microsecond past what rounding can hide, so that no timer fires
+    /// early. A time more than a day ahead counts as a day ahead, lest it overflow.
     pub fn instant(&self, ms: f64) -> Instant {
         const DAY_MS: f64 = 86_400_000.0;
         let since_ms = (ms - self.unix_ms).clamp(0.0, self.now() - self.unix_ms + DAY_MS);
-        self.anchor + Duration::from_micros((since_ms * 1000.0).ceil() as u64)
+        self.anchor + Duration::from_micros((since_ms * 1000.0).ceil() as u64 + 1)
     }
 }
--- a/gateway/src/http1.rs
+++ b/gateway/src/http1.rs
@@ -274,13 +274,14 @@
     buffer: BytesMut,
     begun: Option<Begun<S>>,
     parse_at: usize,
+    seen: usize,
     max_body: usize,
 }
 
 impl<S: Start> Reader<S> {
     /// A reader of messages with bodies of at most `max_body` bytes.
     pub fn new(max_body: usize) -> Self {
-        Reader { buffer: BytesMut::new(), begun: None, parse_at: 1, max_body }
+        Reader { buffer: BytesMut::new(), begun: None, parse_at: 1, seen: 0, max_body }
     }
 
     /// Where the next bytes of the connection go.
@@ -319,9 +320,12 @@
 
     /// Takes the head off the buffer once it is whole.
     fn head(&mut self) -> Result<bool, Malformed> {
-        // Guards against a sender of single bytes: a head is parsed at its end, or when its length doubled.
-        let ends = |b: &BytesMut| b.ends_with(b"\n\r\n") || b.ends_with(b"\n\n");
-        if self.buffer.is_empty() || (self.buffer.len() < self.parse_at && !ends(&self.buffer)) {
+        // Guards against a sender of single bytes: a head is parsed when its end is there, wherever the new
+        // bytes have it (a body may follow at once), or when its length has doubled.
+        let fresh = &self.buffer[self.seen.saturating_sub(3).min(self.buffer.len())..];
+        let ends = fresh.windows(2).any(|w| w == b"\n\n") || fresh.windows(3).any(|w| w == b"\n\r\n");
+        self.seen = self.buffer.len();
+        if self.buffer.is_empty() || (self.buffer.len() < self.parse_at && !ends) {
             return Ok(false);
         }
         let Some(Head { start, version, places, length }) = S::parse(&self.buffer)? else {
@@ -331,7 +335,7 @@
         if length > MAX_HEAD {
             return Err(Malformed::HeadTooLarge);
         }
-        self.parse_at = 1;
+        (self.parse_at, self.seen) = (1, 0);
         let fields = Fields { head: self.buffer.split_to(length).freeze(), places };
         let framing = match fields.framing()? {
             _ if start.is_bare() => Framing::Length(0),
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::{debug, warn};
 
 /// A message must have come whole this long after its first byte.
@@ -25,10 +25,14 @@
 const WRITE_TIME: Duration = Duration::from_secs(5);
 /// A client's connection may stand idle for so long.
 const IDLE_TIME: Duration = Duration::from_secs(75);
-/// After a bad message, what the client is still sending is read for so long, lest its answer be lost.
+/// After the last answer, what the client is still sending is read for so long, lest the answer be lost.
 const LINGER: Duration = Duration::from_millis(500);
 /// The most bytes that are read in that time.
 const LINGER_BYTES: usize = 256 * 1024;
+/// What a client sends while its message is open is kept up to so many bytes.
+const EARLY: usize = 4 * 1024;
+/// A connection that comes while the gateway closes has so long to send its message.
+const LATE_COMER: Duration = Duration::from_millis(100);
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// So many clients past the most are taken in for a back-off answer.
@@ -64,14 +68,6 @@
     back_off_ms: f64,
 }
 
-/// What becomes of a connection after an answer.
-#[derive(PartialEq)]
-enum Next {
-    Keep,
-    Close,
-    Linger,
-}
-
 impl Intake {
     /// A front for at most `clients` connections.
     pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, clients: usize) -> Arc<Self> {
@@ -149,12 +145,17 @@
         stream.set_nodelay(true)?;
         let mut reader = Reader::<Ask>::new(MAX_BODY);
         let mut phase = self.phase.clone();
+        let accepted = Instant::now();
         loop {
             if reader.is_idle() {
                 let first = tokio::select! {
                     biased;
                     read = stream.read_buf(reader.buffer()) => read?,
-                    _ = phase.wait_for(|phase| *phase == Phase::Closing) => 0,
+                    () = async {
+                        // The sender lives as long as the program.
+                        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+                        sleep_until(accepted + LATE_COMER).await;
+                    } => 0,
                     () = self.make_room.notified() => 0,
                     () = sleep(if full { READ_TIME } else { IDLE_TIME }) => 0,
                 };
@@ -163,43 +164,36 @@
                 }
             }
             let asked = timeout(READ_TIME, read(&mut stream, &mut reader)).await;
-            let (wording, next) = match asked {
+            let (wording, keep_alive) = match asked {
                 Ok(Ok(Some(ask))) => {
                     let keep_alive = ask.keep_alive && !full;
-                    let Some(answered) = self.answered(&ask, &mut stream, &mut reader, full).await? else {
+                    let Some(answered) = self.answered(ask, &mut stream, &mut reader, full).await? else {
                         return Ok(());
                     };
-                    // The phase may have changed while the message was open.
-                    let keep_alive = keep_alive && self.phase() == Phase::Serving;
-                    match answered {
-                        Ok(answer) => {
-                            (answer.word(keep_alive), if keep_alive { Next::Keep } else { Next::Close })
-                        }
-                        Err(plain @ (Plain::Ready | Plain::Stopping | Plain::NotFound)) => {
-                            (plain.word(keep_alive), if keep_alive { Next::Keep } else { Next::Close })
-                        }
-                        Err(plain) => (plain.word(false), Next::Linger),
-                    }
+                    // A bad message ends the connection; and the phase may have changed meanwhile.
+                    let bad = matches!(answered, Err(Plain::Bad(_) | Plain::Method));
+                    let keep_alive = keep_alive && !bad && self.phase() == Phase::Serving;
+                    let wording = match answered {
+                        Ok(answer) => answer.word(keep_alive),
+                        Err(plain) => plain.word(keep_alive),
+                    };
+                    (wording, keep_alive)
                 }
                 Ok(Ok(None)) => return Ok(()),
-                Ok(Err(ReadError::Malformed(malformed))) => {
-                    (Plain::from(malformed).word(false), Next::Linger)
-                }
+                Ok(Err(ReadError::Malformed(malformed))) => (Plain::from(malformed).word(false), false),
                 Ok(Err(ReadError::Io(e))) => return Err(e),
-                Err(_) => (Plain::TooSlow.word(false), Next::Linger),
+                Err(_) => (Plain::TooSlow.word(false), false),
             };
             write(&mut stream, wording).await?;
-            match next {
-                Next::Keep => {}
-                Next::Close => return stream.shutdown().await,
-                Next::Linger => return linger(&mut stream).await,
+            if !keep_alive {
+                return linger(&mut stream).await;
             }
         }
     }
 
     /// The answer to a request; `None` if its client has left.
     async fn answered(
-        &self, ask: &Whole<Ask>, stream: &mut TcpStream, reader: &mut Reader<Ask>, full: bool,
+        &self, ask: Whole<Ask>, stream: &mut TcpStream, reader: &mut Reader<Ask>, full: bool,
     ) -> io::Result<Option<Result<Answer, Plain>>> {
         let path = ask.target().split(|b| *b == b'?').next().unwrap_or_default();
         match (path, ask.method()) {
@@ -210,7 +204,7 @@
             _ => return Ok(Some(Err(Plain::NotFound))),
         }
         let (answer_to, answer) = oneshot::channel();
-        let message = match self.message(ask, answer_to) {
+        let message = match self.message(&ask, answer_to) {
             Ok(message) => message,
             Err(why) => return Ok(Some(Err(Plain::Bad(why)))),
         };
@@ -218,6 +212,7 @@
             return Ok(Some(Ok(Answer::BackOff { retry_after_ms: self.back_off_ms })));
         }
         let id = message.id;
+        drop(ask);
         if self.queue.send(Input::Message(message)).await.is_err() {
             return Ok(Some(Ok(Answer::Failed)));
         }
@@ -268,21 +263,19 @@
 
 /// What goes on: method, path, query, end-to-end fields and body as they came.
 fn envelope(ask: &Whole<Ask>) -> Envelope {
-    let mut before = BytesMut::with_capacity(512);
-    for part in [ask.method(), b" ", ask.target(), b" HTTP/1.1\r\n"] {
+    let mut before = BytesMut::with_capacity(128);
+    for part in [ask.method(), b" ", ask.target(), b" HTTP/1.1\r\n", TIME_LEFT.as_bytes(), b": "] {
         before.extend_from_slice(part);
     }
+    let mut after = BytesMut::with_capacity(512);
+    after.extend_from_slice(b"\r\n");
     // Guards against a `Connection` field that names the id: no host gets a message without it.
-    ask.fields.write_end_to_end(&mut before, &[TIME_LEFT], &[ID, KEY]);
-    before.extend_from_slice(TIME_LEFT.as_bytes());
-    before.extend_from_slice(b": ");
-    let mut after = BytesMut::from("\r\n");
+    ask.fields.write_end_to_end(&mut after, &[TIME_LEFT], &[ID, KEY]);
     if !ask.body.is_empty() || ask.method() == b"POST" {
         after.extend_from_slice(format!("Content-Length: {}\r\n", ask.body.len()).as_bytes());
     }
     after.extend_from_slice(b"\r\n");
-    after.extend_from_slice(&ask.body);
-    Envelope { before: before.freeze(), after: after.freeze() }
+    Envelope { before: before.freeze(), after: after.freeze(), body: ask.body.clone() }
 }
 
 enum ReadError {
@@ -310,9 +303,9 @@
     }
 }
 
-/// Waits until the client has left. What it sends early is kept, up to what a message may hold.
+/// Waits until the client has left, or for ever if it floods.
 async fn left(stream: &mut TcpStream, reader: &mut Reader<Ask>) {
-    while reader.buffer().len() < MAX_BODY {
+    while reader.buffer().len() < EARLY {
         match stream.read_buf(reader.buffer()).await {
             Ok(0) | Err(_) => return,
             Ok(_) => {}
@@ -326,7 +319,7 @@
     timeout(WRITE_TIME, stream.write_all_buf(&mut bytes)).await?
 }
 
-/// Ends the connection after a bad message. Guards against a reset that would overtake the answer while the
+/// Ends the connection after its last answer. Guards against a reset that would overtake the answer while the
 /// client is still sending.
 async fn linger(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
--- a/gateway/src/inventory.rs
+++ b/gateway/src/inventory.rs
@@ -8,14 +8,17 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout, Instant};
 use tracing::{debug, info, warn};
 
 /// How long a watch call may wait at discovery. Short, since what a broken call should have told counts as told
 /// soon after that wait; yet long enough for few calls.
 const WAIT_MS: u64 = 6_000;
+const WAIT: Duration = Duration::from_millis(WAIT_MS);
 /// How much longer than its wait a call may take before discovery counts as silent.
 const GRACE: Duration = Duration::from_millis(1_800);
+/// The pause after an answer that came at once and told nothing; a watch breaks after 200 ms.
+const PAUSE: Duration = Duration::from_millis(50);
 /// The most bytes of a list: far more than any fleet needs, far less than the memory.
 const MAX_LIST: usize = 1 << 20;
 
@@ -101,15 +104,16 @@
 
 /// Watches discovery each time it is told to, until a call fails.
 pub async fn follow(
-    discovery: SocketAddr, dial_timeout: Duration, mut rev: u64, mut asked: mpsc::Receiver<()>, queue: Queue,
+    discovery: SocketAddr, dial_timeout: Duration, known: u64, mut asked: mpsc::Receiver<()>, queue: Queue,
 ) {
+    let mut rev = (known > 0).then_some(known);
     while asked.recv().await.is_some() {
         // What was asked for while a watch was on is answered by the watch that begins now.
         while asked.try_recv().is_ok() {}
         match watch(discovery, dial_timeout, &mut rev, &queue).await {
             Ok(()) => return,
             Err(problem) => {
-                warn!(rev, "discovery: {problem}");
+                warn!("discovery: {problem}");
                 if queue.send(Input::Inventory(News::Lost)).await.is_err() {
                     return;
                 }
@@ -120,26 +124,35 @@
 
 /// One watch, over one connection, for as long as its calls succeed; fine once nobody listens any more.
 async fn watch(
-    discovery: SocketAddr, dial_timeout: Duration, rev: &mut u64, queue: &Queue,
+    discovery: SocketAddr, dial_timeout: Duration, rev: &mut Option<u64>, queue: &Queue,
 ) -> Result<(), String> {
     let mut stream = dial(discovery, dial_timeout).await?;
     let mut reader = Reader::<Status>::new(MAX_LIST);
-    info!(rev = *rev, "watching discovery");
+    info!(rev, "watching discovery");
     loop {
-        let query = if *rev > 0 { format!("?after={rev}&wait_ms={WAIT_MS}") } else { String::new() };
+        let (query, wait) = match rev {
+            Some(rev) => (format!("?after={rev}&wait_ms={WAIT_MS}"), WAIT + GRACE),
+            None => (String::new(), GRACE + GRACE),
+        };
         let text = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
         // Guards against discovery falling silent: each call has its own deadline.
-        let call = timeout(Duration::from_millis(WAIT_MS) + GRACE, call(&mut stream, &mut reader, &text));
-        let answer = call.await.map_err(|_| "no answer in time")??;
+        let asked_at = Instant::now();
+        let answer = timeout(wait, call(&mut stream, &mut reader, &text)).await;
+        let answer = answer.map_err(|_| "no answer in time")??;
         if answer.start != Status(200) {
             return Err(format!("status {}", answer.start.0));
         }
         let inventory = Inventory::from_slice(&answer.body).map_err(|e| format!("malformed list: {e}"))?;
         debug!(rev = inventory.rev, all = inventory.all, entries = inventory.targets.len(), "inventory");
-        *rev = inventory.rev;
+        // Guards against a discovery that answers without waiting: it is not asked over and over.
+        let idle = inventory.targets.is_empty() && asked_at.elapsed() < PAUSE;
+        *rev = Some(inventory.rev);
         if queue.send(Input::Inventory(News::Listed(inventory))).await.is_err() {
             return Ok(());
         }
+        if idle {
+            sleep(PAUSE).await;
+        }
         if !answer.keep_alive || !reader.is_idle() {
             reader = Reader::new(MAX_LIST);
             stream = dial(discovery, dial_timeout).await?;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,3 +15,63 @@
 pub mod intake;
 pub mod inventory;
 pub mod relay;
+
+use config::Config;
+use decide::{Decider, QUEUE};
+use intake::{Intake, Phase};
+use relay::SouthSide;
+use std::future::Future;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, sleep_until, Instant};
+use tracing::{info, warn};
+
+/// Descriptors that are no client's and no host's: the listener, discovery, the runtime, the log, some spare.
+const OWN_SOCKETS: usize = 24;
+/// Once the gateway is told to stop, new connections come for so long, with a little to spare.
+const NEW_COME: Duration = Duration::from_millis(550);
+/// All must be over this long after the longest deadline.
+const LAST: Duration = Duration::from_millis(600);
+
+/// Serves until `told` to stop, and then until nothing is owed. It needs a current-thread runtime.
+pub async fn serve(
+    config: Config, listener: TcpListener, told: impl Future<Output = ()>,
+) -> Result<(), String> {
+    let Config { name, listen, discovery, seed, sockets, known, site, .. } = config;
+    let (queue, inputs) = mpsc::channel(QUEUE);
+    let (watch_wanted, watch_asked) = mpsc::channel(1);
+    let (phase, phase_now) = watch::channel(Phase::Serving);
+
+    let dial_timeout = Duration::from_secs_f64(site.dial_timeout_ms / 1000.0);
+    let longest = site.balancer.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
+    let sockets = sockets.saturating_sub(OWN_SOCKETS);
+    let south = SouthSide::new(queue.clone(), sockets / 2, site.balancer.idle_ms, dial_timeout);
+    let (rev, hosts) = (known.rev, known.targets.len());
+    let decider = Decider::new(site.clone(), seed, known, south, watch_wanted)?;
+    let intake = Intake::new(site, queue.clone(), phase_now, sockets - sockets / 2);
+
+    let mut deciding = tokio::spawn(decider.run(inputs));
+    let following = tokio::spawn(inventory::follow(discovery, dial_timeout, rev, watch_asked, queue));
+    let accepting = tokio::spawn(intake.clone().accept(listener));
+    info!(name, %listen, hosts, rev, "serving");
+    tokio::select! {
+        () = told => {}
+        // Without it nothing can be decided: better started anew than here and deaf.
+        _ = &mut deciding => return Err("the deciding task has ended".into()),
+    }
+
+    let last = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + LAST;
+    info!("stopping");
+    phase.send_replace(Phase::Stopping);
+    sleep(NEW_COME).await;
+    phase.send_replace(Phase::Closing);
+    tokio::select! {
+        () = intake.empty() => info!("nothing is owed"),
+        () = sleep_until(last) => warn!("out of time with connections still open"),
+    }
+    for task in [deciding, following, accepting] {
+        task.abort();
+    }
+    Ok(())
+}
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -30,6 +30,8 @@
     pub before: Bytes,
     /// What stands after it.
     pub after: Bytes,
+    /// What follows that, as the client sent it.
+    pub body: Bytes,
 }
 
 /// One attempt to have a message served by a south side host.
@@ -203,18 +205,28 @@
                 Ok(relay) => relay,
                 Err(_) => return, // Closed to make room, or since the host left.
             },
-            // Bytes or an end: either way the connection is no longer fit.
-            _ = stream.readable() => return south.withdraw(relay.host, number),
+            () = unfit(&stream) => return south.withdraw(relay.host, number),
             _ = sleep_until(up) => return south.withdraw(relay.host, number),
         };
         // Guards against a host that closed a moment ago: nothing is sent yet, so this relay takes another
         // connection, and nothing is sent twice.
-        if !matches!(stream.try_read(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock) {
+        if !is_silent(&stream) {
             return south.start(relay);
         }
     }
 }
 
+/// Whether a connection is up with nothing to read from it.
+fn is_silent(stream: &TcpStream) -> bool {
+    matches!(stream.try_read(&mut [0; 1]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Waits until an idle connection ends or brings bytes that nobody asked for.
+async fn unfit(stream: &TcpStream) {
+    // Guards against readiness left over from the last answer: only a look tells.
+    while stream.readable().await.is_ok() && is_silent(stream) {}
+}
+
 /// Opens a connection; the outcome if none comes up.
 async fn dial(south: &SouthSide, relay: &mut Relay) -> Result<TcpStream, Outcome> {
     let until = relay.until.min(Instant::now() + south.dial_timeout);
@@ -259,8 +271,12 @@
     written: &mut bool,
 ) -> (Outcome, Option<Whole<Status>>) {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
-    let mut bytes =
-        envelope.before.clone().chain(Bytes::from(left.to_string())).chain(envelope.after.clone());
+    let mut bytes = envelope
+        .before
+        .clone()
+        .chain(Bytes::from(left.to_string()))
+        .chain(envelope.after.clone())
+        .chain(envelope.body.clone());
     if stream.write_all_buf(&mut bytes).await.is_err() {
         return (Outcome::NoConnection, None);
     }
