Test the gateway between small peers, and each part by itself

A client, hosts and discovery on loopback, with the gateway in the same process: pass-through, bad input, stale connections, turned away, time up, a client that leaves, max_open, sockets short, drains, failed and malformed lists, the end after SIGTERM. Each way a relay can end has its outcome and its load report; the clock, the configuration's messages and the program's exit codes are checked too. No outcome depends on speed.

--- /dev/null
+++ b/gateway/tests/common/mod.rs
@@ -0,0 +1,225 @@
+//! Small peers on loopback: a client, south side hosts, discovery, and a gateway between them.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+use ternstack_gateway::config::Config;
+use ternstack_gateway::http1::{Ask, Reader, Start, Status, Whole, MAX_BODY};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Far longer than anything here takes: a test that hangs ends, and none depends on speed.
+pub const LONG: Duration = Duration::from_secs(60);
+
+/// The next whole message of a connection; `None` if it ends first.
+pub async fn next<S: Start>(stream: &mut TcpStream, reader: &mut Reader<S>) -> Option<Whole<S>> {
+    let mut ended = false;
+    loop {
+        match reader.next(ended) {
+            Ok(Some(message)) => return Some(message),
+            Ok(None) if !ended => {}
+            _ => return None,
+        }
+        ended = stream.read_buf(reader.buffer()).await.unwrap_or(0) == 0;
+    }
+}
+
+pub fn field<S>(message: &Whole<S>, name: &str) -> String {
+    message.fields.text(name).unwrap_or("").to_string()
+}
+
+/// What a host does with a message.
+#[derive(Clone, Copy)]
+pub enum Does {
+    Answer(&'static str),
+    AnswerAndClose(&'static str),
+    Close,
+    Nothing,
+}
+
+pub const SERVED: Does = Does::Answer(
+    "HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nX-Backend-Load: util=0.5,qps=20\r\nContent-Length: 4\r\n\r\ndesk",
+);
+pub const TURNED_AWAY: Does =
+    Does::Answer("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+
+/// What a host has seen.
+pub enum Seen {
+    Connected,
+    Message(Whole<Ask>),
+    Ended,
+}
+
+pub struct Host {
+    pub at: SocketAddr,
+    pub seen: mpsc::UnboundedReceiver<Seen>,
+}
+
+impl Host {
+    /// A host that does the same with every message.
+    pub async fn start(does: Does) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let at = listener.local_addr().expect("an address");
+        let (tell, seen) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let tell = tell.clone();
+                let _ = tell.send(Seen::Connected);
+                tokio::spawn(async move {
+                    let mut reader = Reader::new(MAX_BODY);
+                    while let Some(ask) = next::<Ask>(&mut stream, &mut reader).await {
+                        let _ = tell.send(Seen::Message(ask));
+                        match does {
+                            Does::Answer(text) => drop(stream.write_all(text.as_bytes()).await),
+                            Does::AnswerAndClose(text) => {
+                                drop(stream.write_all(text.as_bytes()).await);
+                                break;
+                            }
+                            Does::Close => break,
+                            Does::Nothing => {}
+                        }
+                    }
+                    drop(stream);
+                    let _ = tell.send(Seen::Ended);
+                });
+            }
+        });
+        Host { at, seen }
+    }
+
+    pub async fn next(&mut self) -> Seen {
+        timeout(LONG, self.seen.recv()).await.expect("something is seen").expect("the host runs")
+    }
+
+    /// The ids of all messages seen so far, and the number of connections.
+    pub fn so_far(&mut self) -> (Vec<String>, usize) {
+        let (mut ids, mut connections) = (Vec::new(), 0);
+        while let Ok(seen) = self.seen.try_recv() {
+            match seen {
+                Seen::Message(ask) => ids.push(field(&ask, "x-correlation-id")),
+                Seen::Connected => connections += 1,
+                Seen::Ended => {}
+            }
+        }
+        (ids, connections)
+    }
+}
+
+/// A target line of discovery's list.
+pub fn target(n: usize, at: SocketAddr, state: &str) -> Value {
+    json!({"uid": format!("s-{n}"), "endpoint": at.to_string(), "az": "a", "model": "m", "pod_group": 0,
+           "state": state, "capacity_hint": 1.0, "boot_ms": 0, "novel": {}})
+}
+
+pub fn list(rev: u64, all: bool, targets: Vec<Value>) -> Value {
+    json!({"rev": rev, "all": all, "targets": targets})
+}
+
+/// Discovery that answers each call with what the test gives it.
+pub struct Discovery {
+    pub at: SocketAddr,
+    calls: mpsc::UnboundedReceiver<(String, oneshot::Sender<String>)>,
+}
+
+impl Discovery {
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let at = listener.local_addr().expect("an address");
+        let (tell, calls) = mpsc::unbounded_channel();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut reader = Reader::new(MAX_BODY);
+                while let Some(ask) = next::<Ask>(&mut stream, &mut reader).await {
+                    let (answer, answered) = oneshot::channel::<String>();
+                    let _ = tell.send((String::from_utf8_lossy(ask.target()).into_owned(), answer));
+                    let Ok(text) = answered.await else { break };
+                    drop(stream.write_all(text.as_bytes()).await);
+                }
+            }
+        });
+        Discovery { at, calls }
+    }
+
+    /// The next call's path and query; it waits until it is answered, or ends if that is dropped.
+    pub async fn call(&mut self) -> (String, oneshot::Sender<String>) {
+        timeout(LONG, self.calls.recv()).await.expect("a call").expect("discovery runs")
+    }
+}
+
+pub fn ok(body: &Value) -> String {
+    let body = body.to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// A configuration with one safe and one keyed class.
+pub fn config(known: Vec<Value>, discovery: SocketAddr) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+        "known": list(41, true, known),
+        "settings": {
+            "classes": [
+                {"name": "look", "aim_ms": 8000.0, "deadline_ms": 20000.0, "effect": "safe", "late_value": 0.2},
+                {"name": "book", "aim_ms": 8000.0, "deadline_ms": 20000.0, "effect": "keyed", "group": "all",
+                 "window_ms": 20000.0, "late_value": 0.2}],
+            "tenants": [{"name": "acme", "quota_per_s": 50.0, "fraction": 1.0}],
+            "limits": {"cancel": true, "conn_idle_ms": 30000.0, "dial_timeout_ms": 5000.0, "max_attempts": 3,
+                       "max_open": 100, "max_retry_after_ms": 2000.0, "retry_after": true},
+            "report": {"how": "inline", "fields": ["utilization", "throughput"]},
+            "discovery": "ask", "instances": 1, "zone": "a", "zones": ["a"], "tick_ms": 5.0}
+    })
+}
+
+pub struct Gateway {
+    pub at: SocketAddr,
+    stop: Option<oneshot::Sender<()>>,
+    pub task: JoinHandle<Result<(), String>>,
+}
+
+impl Gateway {
+    pub async fn start(config: &Value) -> Self {
+        let config = Config::read(&config.to_string(), |_| None).expect("a sound configuration");
+        let listener = TcpListener::bind(config.listen).await.expect("a free port");
+        let at = listener.local_addr().expect("an address");
+        let (stop, told) = oneshot::channel();
+        let told = async move { drop(told.await) };
+        let task = tokio::spawn(ternstack_gateway::serve(config, listener, told));
+        Gateway { at, stop: Some(stop), task }
+    }
+
+    pub fn stop(&mut self) {
+        drop(self.stop.take());
+    }
+
+    pub async fn client(&self) -> Client {
+        Client { stream: TcpStream::connect(self.at).await.expect("the gateway listens") }
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+}
+
+impl Client {
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.expect("the gateway reads");
+    }
+
+    /// The next answer; `None` if the connection ends first.
+    pub async fn answer(&mut self) -> Option<Whole<Status>> {
+        timeout(LONG, next(&mut self.stream, &mut Reader::new(MAX_BODY))).await.expect("an answer or an end")
+    }
+
+    pub async fn ask(&mut self, text: &str) -> Whole<Status> {
+        self.send(text).await;
+        self.answer().await.expect("an answer")
+    }
+}
+
+pub fn look(id: &str) -> String {
+    format!("GET /api?d=4 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\nX-Service-Class: look\r\n\r\n")
+}
--- /dev/null
+++ b/gateway/tests/gateway.rs
@@ -0,0 +1,233 @@
+//! The whole gateway between small peers on loopback. No outcome here depends on how fast the machine is.
+
+mod common;
+use common::*;
+use serde_json::json;
+
+const BOOK: &str = "POST /api?room=2 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: id-1\r\n\
+    X-Service-Class: book\r\nX-Account: acme\r\nIdempotency-Key: 5c0f\r\nX-Time-Left-Ms: 9000\r\n\
+    Connection: keep-alive, X-Correlation-Id, X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\n\r\n\
+    3\r\ndes\r\n1\r\nk\r\n0\r\n\r\n";
+
+#[tokio::test]
+async fn a_message_goes_through_unchanged_and_connections_are_used_again() {
+    let (mut host, discovery) = (Host::start(SERVED).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let mut client = gateway.client().await;
+    assert_eq!(client.ask("GET /ready HTTP/1.1\r\n\r\n").await.start.0, 200);
+
+    let answer = client.ask(BOOK).await;
+    assert_eq!(
+        (answer.start.0, &answer.body[..], field(&answer, "content-type").as_str()),
+        (200, &b"desk"[..], "text/x")
+    );
+    assert!(matches!(host.next().await, Seen::Connected));
+    let Seen::Message(ask) = host.next().await else { panic!("a message") };
+    assert_eq!(
+        (ask.method(), ask.target(), &ask.body[..]),
+        (&b"POST"[..], &b"/api?room=2"[..], &b"desk"[..])
+    );
+    // Guards against a `Connection` field that would take the id off on its way.
+    assert_eq!(
+        (field(&ask, "x-correlation-id"), field(&ask, "idempotency-key")),
+        ("id-1".into(), "5c0f".into())
+    );
+    assert_eq!((field(&ask, "x-hop"), field(&ask, "x-account")), (String::new(), "acme".into()));
+    let left: u64 = field(&ask, "x-time-left-ms").parse().expect("whole milliseconds");
+    assert!(left <= 9000 && ask.fields.all("x-time-left-ms").count() == 1);
+
+    // Two at once on one connection are answered in turn, by the host's one connection.
+    client.send(&format!("{}{}", look("id-2"), look("id-3"))).await;
+    let both = async {
+        let mut reader = ternstack_gateway::http1::Reader::new(1024);
+        let first = next::<ternstack_gateway::http1::Status>(&mut client.stream, &mut reader).await;
+        (first, next::<ternstack_gateway::http1::Status>(&mut client.stream, &mut reader).await)
+    };
+    assert!(matches!(both.await, (Some(a), Some(b)) if a.start.0 == 200 && b.start.0 == 200));
+    assert_eq!(host.so_far(), (vec!["id-2".into(), "id-3".into()], 0));
+}
+
+#[tokio::test]
+async fn bad_input_is_named_and_never_reaches_a_host() {
+    let (mut host, discovery) = (Host::start(SERVED).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let long = format!("GET /api HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(20_000));
+    let api = |fields: &str| format!("GET /api HTTP/1.1\r\n{fields}\r\n\r\n");
+    for (text, status) in [
+        ("\u{1}\u{2} garbage\r\n\r\n".into(), 400),
+        (api("X-Service-Class: look"), 400),
+        (api("X-Correlation-Id:\r\nX-Service-Class: look"), 400),
+        (api("X-Correlation-Id: a\r\nX-Correlation-Id: b\r\nX-Service-Class: look"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: lunch"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: book"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nX-Time-Left-Ms: soon"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nContent-Length: x"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nContent-Length: 65537"), 413),
+        (look("a").replace("GET", "DELETE"), 405),
+        (look("a").replace("/api", "/apis"), 404),
+        (long, 431),
+    ] {
+        let mut client = gateway.client().await;
+        let answer = client.ask(&text).await;
+        assert_eq!(
+            (answer.start.0, answer.keep_alive),
+            (status, status == 404),
+            "{}",
+            &text[..text.len().min(99)]
+        );
+    }
+    assert_eq!(host.so_far(), (vec![], 0));
+    // An unknown tenant is none.
+    let text = look("a").replace("\r\n\r\n", "\r\nX-Account: nobody\r\n\r\n");
+    assert_eq!(gateway.client().await.ask(&text).await.start.0, 200);
+}
+
+#[tokio::test]
+async fn a_host_that_closes_is_not_sent_the_same_message_twice() {
+    let served = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndesk";
+    let (mut host, discovery) = (Host::start(Does::AnswerAndClose(served)).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let mut client = gateway.client().await;
+    for n in 0..5 {
+        assert_eq!(client.ask(&look(&format!("id-{n}"))).await.start.0, 200);
+        // The host has ended the connection before the next message comes.
+        while !matches!(host.next().await, Seen::Ended) {}
+    }
+    assert_eq!(client.ask(&look("id-5")).await.start.0, 200);
+    assert_eq!(host.so_far().0, ["id-5"]);
+}
+
+#[tokio::test]
+async fn what_is_given_up_is_answered_at_once_with_when_to_come_back() {
+    let discovery = Discovery::start().await;
+    let free = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("it");
+    let gateway = Gateway::start(&config(vec![target(1, free, "SERVING")], discovery.at)).await;
+    let answer = gateway.client().await.ask(&look("a")).await;
+    assert_eq!(answer.start.0, 503);
+    let after: f64 = field(&answer, "retry-after").parse().expect("seconds");
+    assert!(after > 0.0 && after <= 2.0);
+}
+
+#[tokio::test]
+async fn a_message_turned_away_unseen_is_served_by_another_host() {
+    let (mut full, mut host) = (Host::start(TURNED_AWAY).await, Host::start(SERVED).await);
+    let discovery = Discovery::start().await;
+    let known = vec![target(1, full.at, "SERVING"), target(2, host.at, "SERVING")];
+    let gateway = Gateway::start(&config(known, discovery.at)).await;
+    for n in 0..6 {
+        assert_eq!(gateway.client().await.ask(&look(&format!("id-{n}"))).await.start.0, 200);
+    }
+    assert!(!full.so_far().0.is_empty(), "the draw met the full host");
+    assert_eq!(host.so_far().0.len(), 6);
+}
+
+#[tokio::test]
+async fn time_up_and_a_client_that_leaves_close_the_hosts_connection() {
+    let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let mut client = gateway.client().await;
+    let short = look("a").replace("\r\n\r\n", "\r\nX-Time-Left-Ms: 1000\r\n\r\n");
+    assert_eq!(client.ask(&short).await.start.0, 503);
+    while !matches!(host.next().await, Seen::Ended) {}
+    let mut other = gateway.client().await;
+    other.send(&look("b")).await;
+    while !matches!(host.next().await, Seen::Message(_)) {}
+    drop(other);
+    while !matches!(host.next().await, Seen::Ended) {}
+}
+
+#[tokio::test]
+async fn past_max_open_comes_the_back_off_answer() {
+    let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
+    let mut told = config(vec![target(1, host.at, "SERVING")], discovery.at);
+    told["settings"]["limits"]["max_open"] = json!(1);
+    let gateway = Gateway::start(&told).await;
+    let mut first = gateway.client().await;
+    first.send(&look("a")).await;
+    while !matches!(host.next().await, Seen::Message(_)) {}
+    let answer = gateway.client().await.ask(&look("b")).await;
+    assert_eq!((answer.start.0, field(&answer, "retry-after")), (503, "2.000".into()));
+}
+
+#[tokio::test]
+async fn clients_past_the_sockets_are_told_to_come_back() {
+    let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
+    let mut told = config(vec![target(1, host.at, "SERVING")], discovery.at);
+    told["limits"]["sockets"] = json!(80); // 28 for clients, of which 24 only get a back-off answer
+    let gateway = Gateway::start(&told).await;
+    let mut clients = Vec::new();
+    for n in 0..4 {
+        clients.push(gateway.client().await);
+        clients[n].send(&look(&format!("id-{n}"))).await;
+        while !matches!(host.next().await, Seen::Message(_)) {}
+    }
+    let answer = gateway.client().await.ask(&look("late")).await;
+    assert_eq!((answer.start.0, answer.keep_alive), (503, false));
+    assert_eq!(host.so_far().0, Vec::<String>::new());
+    // Room again: connections that stand idle end for it.
+    drop(clients);
+    for n in 0..4 {
+        while !matches!(host.next().await, Seen::Ended) {}
+        let mut idle = gateway.client().await;
+        assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n").await.start.0, 200, "{n}");
+    }
+}
+
+#[tokio::test]
+async fn the_watch_goes_on_and_a_drain_holds_from_the_moment_it_is_read() {
+    let (mut old, mut new) = (Host::start(SERVED).await, Host::start(SERVED).await);
+    let mut discovery = Discovery::start().await;
+    let gateway = Gateway::start(&config(vec![target(1, old.at, "SERVING")], discovery.at)).await;
+    let (query, answer) = discovery.call().await;
+    assert!(query.starts_with("/v1/endpoints?after=41&wait_ms="), "{query}");
+    answer
+        .send(ok(&list(42, false, vec![target(2, new.at, "SERVING"), target(1, old.at, "DRAINING")])))
+        .expect("asked");
+    let (query, answer) = discovery.call().await;
+    assert!(query.contains("after=42"), "{query}");
+    for n in 0..8 {
+        assert_eq!(gateway.client().await.ask(&look(&format!("id-{n}"))).await.start.0, 200);
+    }
+    assert_eq!((old.so_far().0.len(), new.so_far().0.len()), (0, 8));
+
+    // A malformed list is a failed call: the list stands, and the next call asks from the same version.
+    answer.send(ok(&json!({"rev": 43, "all": true}))).expect("asked");
+    let (query, answer) = discovery.call().await;
+    assert!(query.contains("after=42"), "{query}");
+    assert_eq!(gateway.client().await.ask(&look("still")).await.start.0, 200);
+    // So is a connection that ends. Then a whole list, in which a host has moved.
+    drop(answer);
+    let moved = Host::start(SERVED).await;
+    let (_, answer) = discovery.call().await;
+    answer.send(ok(&list(44, true, vec![target(2, moved.at, "SERVING")]))).expect("asked");
+    let _waiting = discovery.call().await;
+    new.so_far();
+    assert_eq!(gateway.client().await.ask(&look("moved")).await.start.0, 200);
+    assert_eq!(new.so_far(), (vec![], 0));
+}
+
+#[tokio::test]
+async fn told_to_stop_it_serves_what_is_owed_and_ends() {
+    let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
+    let mut gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let (mut idle, mut kept, mut owed) =
+        (gateway.client().await, gateway.client().await, gateway.client().await);
+    let ready = "GET /ready HTTP/1.1\r\n\r\n";
+    assert_eq!(kept.ask(ready).await.start.0, 200);
+    assert_eq!(idle.ask(ready).await.start.0, 200);
+    owed.send(&look("a").replace("\r\n\r\n", "\r\nX-Time-Left-Ms: 1500\r\n\r\n")).await;
+    while !matches!(host.next().await, Seen::Message(_)) {}
+    gateway.stop();
+    // Kept and new connections are still served, each once.
+    while gateway.client().await.ask(ready).await.start.0 == 200 {}
+    let answer = kept.ask(ready).await;
+    assert_eq!((answer.start.0, answer.keep_alive), (503, false));
+    assert!(idle.answer().await.is_none(), "an idle connection ends");
+    let answer = owed.answer().await.expect("what is owed is answered");
+    assert_eq!((answer.start.0, answer.keep_alive), (503, false));
+    drop((kept, owed));
+    assert_eq!(
+        tokio::time::timeout(LONG, gateway.task).await.expect("it ends").expect("without panic"),
+        Ok(())
+    );
+}
--- /dev/null
+++ b/gateway/tests/parts.rs
@@ -0,0 +1,203 @@
+//! The parts by themselves: how relays end, the clock, the configuration, and the program.
+
+mod common;
+use bytes::Bytes;
+use common::*;
+use serde_json::{json, Value};
+use std::process::{Command, Stdio};
+use std::time::Duration;
+use ternstack::{Outcome, Report, RequestId};
+use ternstack_gateway::clock::Clock;
+use ternstack_gateway::config::Config;
+use ternstack_gateway::decide::Input;
+use ternstack_gateway::relay::{Envelope, Relay, RelayEnd, SouthSide};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{timeout, Instant};
+
+/// A way to the south with its queue.
+struct South {
+    side: SouthSide,
+    inputs: mpsc::Receiver<Input>,
+    number: u32,
+}
+
+impl South {
+    fn new(most: usize, idle_ms: f64) -> Self {
+        let (queue, inputs) = mpsc::channel(16);
+        South { side: SouthSide::new(queue, most, idle_ms, Duration::from_secs(20)), inputs, number: 0 }
+    }
+
+    fn start(&mut self, host: std::net::SocketAddr, patience: Duration) -> oneshot::Sender<()> {
+        let (call_off, called_off) = oneshot::channel();
+        let envelope = Envelope {
+            before: Bytes::from_static(b"GET /api HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: "),
+            after: Bytes::from_static(b"\r\n\r\n"),
+            body: Bytes::new(),
+        };
+        let (message, number, until) = (RequestId(7), self.number, Instant::now() + patience);
+        self.number += 1;
+        self.side.start(Relay { message, number, host, envelope, until, called_off });
+        call_off
+    }
+
+    async fn end(&mut self) -> RelayEnd {
+        match timeout(LONG, self.inputs.recv()).await.expect("an end") {
+            Some(Input::RelayEnd(end)) => end,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    async fn outcome(&mut self, host: std::net::SocketAddr, patience: Duration) -> (Outcome, Report) {
+        let _call_off = self.start(host, patience);
+        let end = self.end().await;
+        assert_eq!(end.number + 1, self.number);
+        assert_eq!(end.answer.is_some(), end.outcome == Outcome::Served);
+        (end.outcome, end.report)
+    }
+}
+
+#[tokio::test]
+async fn every_way_a_relay_can_end_has_its_outcome_and_its_report() {
+    let report = |u, t| Report { utilization: u, throughput: t, backlog: None };
+    let none = Report::default();
+    for (does, outcome, told) in [
+        (SERVED, Outcome::Served, report(Some(0.5), Some(20.0))),
+        (TURNED_AWAY, Outcome::TurnedAway, none),
+        (
+            Does::Answer("HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nX-Backend-Load: util=1, qps=x\r\n\r\n"),
+            Outcome::NoAnswer, // A body up to the end of a connection that stays open.
+            none,
+        ),
+        (
+            Does::AnswerAndClose(
+                "HTTP/1.1 504 No\r\nX-Unprocessed: 1\r\nX-Backend-Load: util=1, qps=x\r\n\r\n",
+            ),
+            Outcome::TurnedAway,
+            report(Some(1.0), None),
+        ),
+        (Does::Answer("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"), Outcome::ServerError, none),
+        (Does::Answer("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), Outcome::ServerError, none),
+        (Does::Answer("HTTP/1.1 204 No\r\n\r\n"), Outcome::ServerError, none),
+        (Does::Answer("what?\r\n\r\n"), Outcome::ServerError, none),
+        (Does::Answer("HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n"), Outcome::ServerError, none),
+        (
+            Does::AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndesk"),
+            Outcome::ConnectionLost,
+            none,
+        ),
+        (Does::Close, Outcome::ConnectionLost, none),
+        (Does::Nothing, Outcome::NoAnswer, none),
+    ] {
+        let host = Host::start(does).await;
+        let patience = if outcome == Outcome::NoAnswer { Duration::from_secs(1) } else { LONG };
+        let (seen, report) = South::new(4, 30_000.0).outcome(host.at, patience).await;
+        assert_eq!((seen, report), (outcome, told));
+    }
+    let free = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("it");
+    assert_eq!(South::new(4, 30_000.0).outcome(free, LONG).await.0, Outcome::NoConnection);
+
+    let mut host = Host::start(Does::Nothing).await;
+    let mut south = South::new(4, 30_000.0);
+    let call_off = south.start(host.at, LONG);
+    while !matches!(host.next().await, Seen::Message(_)) {}
+    call_off.send(()).expect("it is out");
+    assert_eq!(south.end().await.outcome, Outcome::CalledOff);
+    // An answer may still be due on that connection: it is closed.
+    while !matches!(host.next().await, Seen::Ended) {}
+}
+
+#[tokio::test]
+async fn connections_stay_under_the_most_and_end_before_they_have_been_idle_too_long() {
+    let (mut quick, mut other, mut slow) =
+        (Host::start(SERVED).await, Host::start(SERVED).await, Host::start(Does::Nothing).await);
+    let mut south = South::new(2, 30_000.0);
+    let _first = south.start(slow.at, LONG);
+    while !matches!(slow.next().await, Seen::Message(_)) {}
+    assert_eq!(south.outcome(quick.at, LONG).await.0, Outcome::Served);
+    south.number = 2;
+    // The idle connection makes room for one to another host.
+    assert_eq!(south.outcome(other.at, LONG).await.0, Outcome::Served);
+    while !matches!(quick.next().await, Seen::Ended) {}
+    // With none idle, nothing is sent, and no host is blamed.
+    let _second = south.start(slow.at, LONG);
+    while !matches!(slow.next().await, Seen::Message(_)) {}
+    assert_eq!(south.outcome(quick.at, LONG).await.0, Outcome::NotSent);
+    assert_eq!((quick.so_far().1, other.so_far().1), (0, 1));
+
+    let mut brief = South::new(2, 100.0);
+    let mut host = Host::start(SERVED).await;
+    assert_eq!(brief.outcome(host.at, LONG).await.0, Outcome::Served);
+    while !matches!(host.next().await, Seen::Ended) {}
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_clock_keeps_unix_time_and_its_instants_are_never_early() {
+    let clock = Clock::start();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    assert!((clock.now() - unix.as_secs_f64() * 1000.0).abs() < 60_000.0);
+    let start = clock.now();
+    for n in 0..20_000 {
+        let ms = start + f64::from(n) * 0.377;
+        assert!(clock.at(clock.instant(ms)) >= ms, "{n}");
+    }
+    tokio::time::sleep_until(clock.instant(start + 12.3)).await;
+    assert!(clock.now() >= start + 12.3 && clock.now() < start + 15.0);
+    assert!(clock.instant(f64::INFINITY) > clock.instant(start));
+}
+
+#[test]
+fn a_bad_configuration_names_the_faulty_key() {
+    let good = config(
+        vec![target(1, "127.0.0.1:9".parse().expect("an address"), "SERVING")],
+        ([127, 0, 0, 1], 9).into(),
+    );
+    let read = |config: &Value, name: &str, value: &str| {
+        Config::read(&config.to_string(), |asked| (asked == name).then(|| value.to_string()))
+    };
+    let told = read(&good, "LB_LISTEN", "127.0.0.1:4000").expect("sound");
+    assert_eq!((told.listen.port(), told.seed, told.sockets), (4000, 0x8c1f_30d2_7a5b_e964, 256));
+    assert!(read(&good, "LB_LISTEN", "here").unwrap_err().starts_with("LB_LISTEN"));
+    assert!(read(&good, "LB_LOG", "loud").unwrap_err().starts_with("LB_LOG"));
+    for (path, value, key) in [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/discovery", json!(7), "discovery"),
+        ("/seed", json!("xyz"), "seed"),
+        ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/known/targets/0/state", json!("NAPPING"), "known"),
+        ("/known/targets/0/endpoint", Value::Null, "endpoint"),
+        ("/settings/classes", json!([]), "classes"),
+        ("/settings/classes/0/deadline_ms", json!(-1), "classes.deadline_ms"),
+        ("/settings/classes/0/effect", json!("odd"), "classes[].effect"),
+        ("/settings/limits/dial_timeout_ms", json!(0), "limits.dial_timeout_ms"),
+        ("/settings/limits/max_open", json!("many"), "limits.max_open"),
+        ("/settings", json!(1), "settings"),
+    ] {
+        let mut bad = good.clone();
+        *bad.pointer_mut(path).expect("it is there") = value;
+        let problem = read(&bad, "", "").expect_err(path);
+        assert!(problem.contains(key) && problem.starts_with("LB_CONFIG"), "{path}: {problem}");
+    }
+}
+
+#[test]
+fn the_program_says_what_is_wrong_and_ends_well_when_told_to() {
+    let program = || Command::new(env!("CARGO_BIN_EXE_ternstack-gateway"));
+    let lost = program().env("LB_CONFIG", "nowhere.json").output().expect("it runs");
+    assert!(!lost.status.success());
+    assert!(String::from_utf8_lossy(&lost.stderr).contains("LB_CONFIG"));
+
+    let file = std::env::temp_dir().join(format!("ternstack-{}.json", std::process::id()));
+    std::fs::write(&file, config(vec![], ([127, 0, 0, 1], 9).into()).to_string()).expect("it is written");
+    let mut child = program().env("LB_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("it runs");
+    let mut log = std::io::BufReader::new(child.stderr.take().expect("a log"));
+    let mut line = String::new();
+    while !line.contains("serving") {
+        line.clear();
+        assert!(std::io::BufRead::read_line(&mut log, &mut line).expect("a line") > 0, "it ended");
+    }
+    let kill = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", child.id())).status();
+    assert!(kill.expect("a shell").success());
+    assert_eq!(child.wait().expect("it ends").code(), Some(0));
+    std::fs::remove_file(&file).expect("it is there");
+}
