--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -125,7 +125,11 @@
         if let Ok(permit) = self.clients.clone().try_acquire_owned() {
             return (Some(permit), false);
         }
-        (self.spare.clone().acquire_owned().await.ok(), true)
+        tokio::select! {
+            biased;
+            permit = self.clients.clone().acquire_owned() => (permit.ok(), false),
+            permit = self.spare.clone().acquire_owned() => (permit.ok(), true),
+        }
     }
 
     /// Waits until no client's connection is left.
@@ -269,6 +273,9 @@
     }
     let mut after = BytesMut::with_capacity(512);
     after.extend_from_slice(b"\r\n");
+    if ask.fields.get("host").is_none() {
+        after.extend_from_slice(b"Host: backend.local\r\n"); // HTTP/1.1 needs one; HTTP/1.0 has none.
+    }
     // Guards against a `Connection` field that names the id: no host gets a message without it.
     ask.fields.write_end_to_end(&mut after, &[TIME_LEFT], &[ID, KEY]);
     if !ask.body.is_empty() || ask.method() == b"POST" {
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -36,6 +36,12 @@
     let left: u64 = field(&ask, "x-time-left-ms").parse().expect("whole milliseconds");
     assert!(left <= 9000 && ask.fields.all("x-time-left-ms").count() == 1);
 
+    // What speaks HTTP/1.0 and names no host still goes on with one.
+    let old = look("id-0").replace("HTTP/1.1", "HTTP/1.0").replace("Host: backend.local\r\n", "");
+    assert!(!gateway.client().await.ask(&old).await.keep_alive);
+    let Seen::Message(ask) = host.next().await else { panic!("the same connection") };
+    assert_eq!(field(&ask, "host"), "backend.local");
+
     // Two at once on one connection are answered in turn, by the host's one connection.
     client.send(&format!("{}{}", look("id-2"), look("id-3"))).await;
     let both = async {
