Tell of a lack of descriptors every 5 s at most

Seen: under 'ulimit -n 40' with 60 clients the log still had a warning each 10 ms, since each failure made room for one success, which allowed the next warning. Faulty lines: the flag in Intake::accept that a success cleared.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -35,6 +35,8 @@
 const LATE_COMER: Duration = Duration::from_millis(100);
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// A lack of descriptors is told of at most this often.
+const WARN_PAUSE: Duration = Duration::from_secs(5);
 /// So many clients past the most are taken in for a back-off answer.
 const SPARE: usize = 24;
 
@@ -87,12 +89,11 @@
 
     /// Accepts clients for as long as the gateway runs.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut failing = false;
+        let mut warned: Option<Instant> = None;
         loop {
             let (mut permit, mut full) = self.admit().await;
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    failing = false;
                     // Others may have left meanwhile.
                     if let (true, Ok(free)) = (full, self.clients.clone().try_acquire_owned()) {
                         (permit, full) = (Some(free), false);
@@ -107,10 +108,10 @@
                 }
                 // Guards against a busy loop while descriptors are short (EMFILE): others go on, and end.
                 Err(e) => {
-                    if !failing {
+                    if warned.is_none_or(|at| at.elapsed() >= WARN_PAUSE) {
                         warn!("cannot accept: {e}; trying again");
+                        warned = Some(Instant::now());
                     }
-                    failing = true;
                     self.make_room.notify_one();
                     sleep(ACCEPT_PAUSE).await;
                 }
