--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,8 @@
 const OWN_SOCKETS: usize = 24;
 /// Once the gateway is told to stop, new connections come for so long, with a little to spare.
 const NEW_COME: Duration = Duration::from_millis(550);
+/// After idle connections have ended, a message that crossed such an end has so long to come again.
+const COME_AGAIN: Duration = Duration::from_millis(150);
 /// All must be over this long after the longest deadline.
 const LAST: Duration = Duration::from_millis(600);
 
@@ -67,6 +69,8 @@
     phase.send_replace(Phase::Stopping);
     sleep(NEW_COME).await;
     phase.send_replace(Phase::Closing);
+    // Guards against leaving a client alone whose message crossed the end of an idle connection.
+    sleep(COME_AGAIN).await;
     tokio::select! {
         () = intake.empty() => info!("nothing is owed"),
         () = sleep_until(last) => warn!("out of time with connections still open"),
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -252,6 +252,9 @@
     let answer = kept.ask(ready).await;
     assert_eq!((answer.start.0, answer.keep_alive), (503, false));
     assert!(idle.answer().await.is_none(), "an idle connection ends");
+    // A message that crossed that end comes again, over a new connection.
+    let answer = gateway.client().await.ask(ready).await;
+    assert_eq!((answer.start.0, answer.keep_alive), (503, false));
     let answer = owed.answer().await.expect("what is owed is answered");
     assert_eq!((answer.start.0, answer.keep_alive), (503, false));
     drop((kept, owed));
