Do not send a keyed repeat once hosts no longer drop it

Ruled out: a send queued behind others, since decide carries out each action at once. Faulty lines: exchange() wrote whatever the dial brought it. A relay now carries the time by which a repeat must be sent (counted from the first relay that may have run), and ends as never sent past it. A test sends one whose time is over: the host sees a connection and no message.

--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use ternstack::{
-    Action, Arrival, AttemptEnd, Balancer, Event, ListKind, Member, Outcome, Readiness, Report, RequestId,
-    ServerId,
+    Action, Arrival, AttemptEnd, Balancer, Class, Effect, Event, ListKind, Member, Outcome, Readiness,
+    Report, RequestId, ServerId,
 };
 use ternstack_settings::{spread, Names, Site};
 use tokio::sync::{mpsc, oneshot};
@@ -53,6 +53,7 @@
 
 /// A message that has no final answer yet, or still has relays out.
 struct Open {
+    class: usize,
     answer_to: Option<oneshot::Sender<Answer>>,
     deadline: Instant,
     envelope: Envelope,
@@ -63,6 +64,7 @@
 struct Sent {
     server: ServerId,
     at: f64,
+    may_have_run: bool,
     call_off: Option<oneshot::Sender<()>>,
 }
 
@@ -77,12 +79,18 @@
     boot_ms: f64,
 }
 
+/// How long hosts drop repeats of a message of a class, where they do.
+fn window(class: &Class) -> Option<f64> {
+    (class.effect == Effect::Keyed).then_some(class.window_ms)
+}
+
 /// The deciding task's state.
 pub struct Decider {
     balancer: Balancer,
     names: Names,
     max_relays: usize,
     max_open: usize,
+    windows: Vec<Option<f64>>, // For keyed classes: how long a repeat is dropped.
     back_off_ms: f64,
     clock: Clock,
     now: f64,
@@ -106,6 +114,7 @@
         let mut decider = Decider {
             max_relays: site.balancer.max_attempts as usize,
             max_open: site.max_open,
+            windows: site.balancer.classes.iter().map(window).collect(),
             back_off_ms: site.balancer.max_retry_after_ms,
             names: site.names,
             balancer: Balancer::new(site.balancer, seed).map_err(|e| e.to_string())?,
@@ -227,7 +236,7 @@
         }
         self.unanswered += 1;
         let answer_to = Some(answer_to);
-        self.open.insert(id, Open { answer_to, deadline, envelope, relays: Vec::new(), out: 0 });
+        self.open.insert(id, Open { class, answer_to, deadline, envelope, relays: Vec::new(), out: 0 });
         self.set(deadline, Due::Backstop(id));
         let left = deadline.saturating_duration_since(Instant::now());
         let patience_ms = left.as_secs_f64() * 1000.0;
@@ -241,16 +250,27 @@
         };
         let number = open.relays.len();
         let until = until.min(open.deadline);
+        let first = open.relays.iter().find(|sent| sent.may_have_run);
+        let window = self.windows.get(open.class).copied().flatten();
+        let send_by = first.zip(window).map(|(first, window)| self.clock.instant(first.at + window));
         let host = self.hosts.get(server.0 as usize).and_then(|host| host.endpoint);
         // Never sent: what has its answer, what has no time left, and what is one too many.
         let sent =
             host.filter(|_| open.answer_to.is_some() && number < self.max_relays && until > Instant::now());
         let (call_off, called_off) = oneshot::channel();
-        open.relays.push(Sent { server, at: self.now, call_off: Some(call_off) });
+        open.relays.push(Sent { server, at: self.now, may_have_run: true, call_off: Some(call_off) });
         open.out += 1;
         if let Some(host) = sent {
             let envelope = open.envelope.clone();
-            self.south.start(Relay { message: id, number: number as u32, host, envelope, until, called_off });
+            self.south.start(Relay {
+                message: id,
+                number: number as u32,
+                host,
+                envelope,
+                until,
+                send_by,
+                called_off,
+            });
         } else {
             self.end(id, number as u32, Outcome::NotSent, 0.0, Report::default(), false);
         }
@@ -277,7 +297,8 @@
         complete: bool,
     ) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(sent) = open.relays.get(number as usize) else { return };
+        let Some(sent) = open.relays.get_mut(number as usize) else { return };
+        sent.may_have_run = !outcome.never_ran();
         let (request, attempt, server) = (id, number, sent.server);
         open.out -= 1;
         self.events.push_back(Event::AttemptEnd(AttemptEnd {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -47,6 +47,8 @@
     pub envelope: Envelope,
     /// When it is given up.
     pub until: Instant,
+    /// For a repeat that hosts drop for a while only: when it must have been sent.
+    pub send_by: Option<Instant>,
     /// Fires when it is called off.
     pub called_off: oneshot::Receiver<()>,
 }
@@ -255,6 +257,10 @@
 async fn exchange(
     stream: &mut TcpStream, reader: &mut Reader<Status>, relay: &mut Relay,
 ) -> (Outcome, Option<Whole<Status>>) {
+    // Guards against a slow dial that carries a repeat past the time in which hosts would drop it.
+    if relay.send_by.is_some_and(|by| by <= Instant::now()) {
+        return (Outcome::NotSent, None);
+    }
     let mut written = false;
     let until = relay.until;
     tokio::select! {
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -20,12 +20,18 @@
     side: SouthSide,
     inputs: mpsc::Receiver<Input>,
     number: u32,
+    send_by: Option<Instant>,
 }
 
 impl South {
     fn new(most: usize, idle_ms: f64) -> Self {
         let (queue, inputs) = mpsc::channel(16);
-        South { side: SouthSide::new(queue, most, idle_ms, Duration::from_secs(20)), inputs, number: 0 }
+        South {
+            side: SouthSide::new(queue, most, idle_ms, Duration::from_secs(20)),
+            inputs,
+            number: 0,
+            send_by: None,
+        }
     }
 
     fn start(&mut self, host: std::net::SocketAddr, patience: Duration) -> oneshot::Sender<()> {
@@ -37,7 +43,7 @@
         };
         let (message, number, until) = (RequestId(7), self.number, Instant::now() + patience);
         self.number += 1;
-        self.side.start(Relay { message, number, host, envelope, until, called_off });
+        self.side.start(Relay { message, number, host, envelope, until, send_by: self.send_by, called_off });
         call_off
     }
 
@@ -103,6 +109,13 @@
     let free = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("it");
     assert_eq!(South::new(4, 30_000.0).outcome(free, LONG).await.0, Outcome::NoConnection);
 
+    // A repeat whose time is over when its connection is up is not sent.
+    let mut host = Host::start(SERVED).await;
+    let mut late = South::new(4, 30_000.0);
+    late.send_by = Some(Instant::now());
+    assert_eq!(late.outcome(host.at, LONG).await.0, Outcome::NotSent);
+    assert!(matches!((host.next().await, host.next().await), (Seen::Connected, Seen::Ended)));
+
     let mut host = Host::start(Does::Nothing).await;
     let mut south = South::new(4, 30_000.0);
     let call_off = south.start(host.at, LONG);
