--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -272,7 +272,7 @@
                 called_off,
             });
         } else {
-            self.end(id, number as u32, Outcome::NotSent, 0.0, Report::default(), false);
+            self.end(id, number as u32, Outcome::NotSent, 0.0, Report::default());
         }
     }
 
@@ -286,20 +286,17 @@
         if let Some(host) = answer {
             self.answer(id, Answer::Served(host));
         }
-        let complete = self.open.get(&id).is_none_or(|open| open.answer_to.is_none());
-        self.end(id, number, outcome, latency_ms, report, complete);
+        self.end(id, number, outcome, latency_ms, report);
         self.settle();
     }
 
     /// Notes the end of a relay for the module, and forgets the message once nothing of it is left.
-    fn end(
-        &mut self, id: RequestId, number: u32, outcome: Outcome, latency_ms: f64, report: Report,
-        complete: bool,
-    ) {
+    fn end(&mut self, id: RequestId, number: u32, outcome: Outcome, latency_ms: f64, report: Report) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(sent) = open.relays.get_mut(number as usize) else { return };
         sent.may_have_run = !outcome.never_ran();
         let (request, attempt, server) = (id, number, sent.server);
+        let complete = open.answer_to.is_none();
         open.out -= 1;
         self.events.push_back(Event::AttemptEnd(AttemptEnd {
             request,
