Test a discovery that falls silent

Seen: of discovery's failures only an ended connection and a malformed list had a test. A call that is never answered now shows that its own deadline ends it and that the same version is asked for again. No program line changes.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -132,13 +132,16 @@
         let (tell, calls) = mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok((mut stream, _)) = listener.accept().await {
-                let mut reader = Reader::new(MAX_BODY);
-                while let Some(ask) = next::<Ask>(&mut stream, &mut reader).await {
-                    let (answer, answered) = oneshot::channel::<String>();
-                    let _ = tell.send((String::from_utf8_lossy(ask.target()).into_owned(), answer));
-                    let Ok(text) = answered.await else { break };
-                    drop(stream.write_all(text.as_bytes()).await);
-                }
+                let tell = tell.clone();
+                tokio::spawn(async move {
+                    let mut reader = Reader::new(MAX_BODY);
+                    while let Some(ask) = next::<Ask>(&mut stream, &mut reader).await {
+                        let (answer, answered) = oneshot::channel::<String>();
+                        let _ = tell.send((String::from_utf8_lossy(ask.target()).into_owned(), answer));
+                        let Ok(text) = answered.await else { break };
+                        drop(stream.write_all(text.as_bytes()).await);
+                    }
+                });
             }
         });
         Discovery { at, calls }
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -235,6 +235,19 @@
     assert_eq!(new.so_far(), (vec![], 0));
 }
 
+#[tokio::test]
+async fn a_discovery_that_falls_silent_is_asked_again() {
+    let (host, mut discovery) = (Host::start(SERVED).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let (_, _never_answered) = discovery.call().await;
+    // The call's own deadline ends it, the module asks anew, and the list stands meanwhile.
+    let (query, answer) = discovery.call().await;
+    assert!(query.contains("after=41"), "{query}");
+    assert_eq!(gateway.client().await.ask(&look("a")).await.start.0, 200);
+    answer.send(ok(&list(42, false, vec![]))).expect("asked");
+    assert!(discovery.call().await.0.contains("after=42"));
+}
+
 #[tokio::test]
 async fn told_to_stop_it_serves_what_is_owed_and_ends() {
     let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
