Reread the configuration on SIGHUP and follow discovery where it moves to

Ruled out: a panic or a lack of memory (the log ends without a line, 0 MB). Faulty: gateway/src/main.rs run(), which took SIGTERM and SIGINT only; and inventory::follow, whose address was fixed.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -34,9 +34,20 @@
 impl Config {
     /// Reads the environment and the file that it names. The error names the faulty key.
     pub fn from_env() -> Result<Self, String> {
-        let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))?;
-        Self::read(&text, |name| env::var(name).ok())
+        Self::read(&file_text()?, |name| env::var(name).ok())
+    }
+
+    /// Reads the replaced file, as [`Config::reread`] does. It waits for the disk.
+    pub fn from_env_again() -> Result<Self, String> {
+        Self::reread(&file_text()?, |name| env::var(name).ok())
+    }
+
+    /// Reads a replaced file's text while the gateway runs. Guards against following discovery where it was at
+    /// the start: variables cannot change any more, so the file's address goes before `LB_DISCOVERY` here.
+    pub fn reread(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+        let file: Value = serde_json::from_str(text).map_err(|e| format!("LB_CONFIG is no JSON: {e}"))?;
+        let named = file.get("discovery").is_some_and(|value| !value.is_null());
+        Self::read(text, |name| variable(name).filter(|_| !(named && name == "LB_DISCOVERY")))
     }
 
     /// Reads a configuration file's text; `variable` looks up what goes before it.
@@ -83,6 +94,12 @@
     }
 }
 
+/// The text of the file that `LB_CONFIG` names.
+fn file_text() -> Result<String, String> {
+    let path = env::var("LB_CONFIG").map_err(|_| "LB_CONFIG is not set")?;
+    std::fs::read_to_string(&path).map_err(|e| format!("LB_CONFIG: {path}: {e}"))
+}
+
 /// The seed is hexadecimal text or a whole number.
 fn seed(value: Option<&Value>) -> Result<u64, String> {
     let read = match value {
--- a/gateway/src/inventory.rs
+++ b/gateway/src/inventory.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout, Instant};
 use tracing::{debug, info, warn};
 
@@ -102,33 +102,50 @@
     Lost,
 }
 
-/// Watches discovery each time it is told to, until a call fails.
+/// Watches discovery each time it is told to, until a call fails; and at once where it has moved to.
 pub async fn follow(
-    discovery: SocketAddr, dial_timeout: Duration, known: u64, mut asked: mpsc::Receiver<()>, queue: Queue,
+    mut discovery: watch::Receiver<SocketAddr>, dial_timeout: Duration, known: u64,
+    mut asked: mpsc::Receiver<()>, queue: Queue,
 ) {
     let mut rev = (known > 0).then_some(known);
-    while asked.recv().await.is_some() {
-        // What was asked for while a watch was on is answered by the watch that begins now.
-        while asked.try_recv().is_ok() {}
-        match watch(discovery, dial_timeout, &mut rev, &queue).await {
-            Ok(()) => return,
-            Err(problem) => {
-                warn!("discovery: {problem}");
-                if queue.send(Input::Inventory(News::Lost)).await.is_err() {
-                    return;
-                }
+    loop {
+        let mut moved = tokio::select! {
+            asked = asked.recv() => match asked {
+                Some(()) => false,
+                None => return,
+            },
+            Ok(()) = discovery.changed() => true,
+        };
+        let problem = loop {
+            // What was asked for while a watch was on is answered by the watch that begins now.
+            while asked.try_recv().is_ok() {}
+            let at = *discovery.borrow_and_update();
+            // Guards against another discovery that counts its versions otherwise: there, the whole list.
+            rev = rev.filter(|_| !moved);
+            tokio::select! {
+                biased;
+                Ok(()) = discovery.changed() => moved = true,
+                end = watch_at(at, dial_timeout, &mut rev, &queue) => match end {
+                    Ok(()) => return,
+                    Err(problem) => break problem,
+                },
             }
+        };
+        warn!("discovery: {problem}");
+        while asked.try_recv().is_ok() {}
+        if queue.send(Input::Inventory(News::Lost)).await.is_err() {
+            return;
         }
     }
 }
 
 /// One watch, over one connection, for as long as its calls succeed; fine once nobody listens any more.
-async fn watch(
+async fn watch_at(
     discovery: SocketAddr, dial_timeout: Duration, rev: &mut Option<u64>, queue: &Queue,
 ) -> Result<(), String> {
     let mut stream = dial(discovery, dial_timeout).await?;
     let mut reader = Reader::<Status>::new(MAX_LIST);
-    info!(rev, "watching discovery");
+    info!(%discovery, rev, "watching discovery");
     loop {
         let (query, wait) = match rev {
             Some(rev) => (format!("?after={rev}&wait_ms={WAIT_MS}"), WAIT + GRACE),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 use intake::{Intake, Phase};
 use relay::SouthSide;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
@@ -36,11 +37,13 @@
 /// All must be over this long after the longest deadline.
 const LAST: Duration = Duration::from_millis(600);
 
-/// Serves until `told` to stop, and then until nothing is owed. It needs a current-thread runtime.
+/// Serves until `told` to stop, and then until nothing is owed. `discovery` tells where discovery answers now.
+/// It needs a current-thread runtime.
 pub async fn serve(
-    config: Config, listener: TcpListener, told: impl Future<Output = ()>,
+    config: Config, listener: TcpListener, discovery: watch::Receiver<SocketAddr>,
+    told: impl Future<Output = ()>,
 ) -> Result<(), String> {
-    let Config { name, discovery, seed, sockets, known, site, .. } = config;
+    let Config { name, seed, sockets, known, site, .. } = config;
     let listen = listener.local_addr().map_err(|e| format!("LB_LISTEN: {e}"))?;
     let (queue, inputs) = mpsc::channel(QUEUE);
     let (watch_wanted, watch_asked) = mpsc::channel(1);
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -1,11 +1,13 @@
 //! The gateway's program: reads its configuration, starts the log, and serves until it is told to stop.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use ternstack_gateway::config::Config;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, SignalKind};
-use tracing::error;
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
+use tracing::{error, info};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 
 /// Lines that may wait for the log; beyond that they are dropped, so that no reader of it holds up a message.
@@ -35,6 +37,9 @@
 async fn run(config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
+    // Guards against SIGHUP ending the program, as it does where nothing takes it.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let (discovery, discovery_now) = watch::channel(config.discovery);
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("LB_LISTEN = {}: {e}", config.listen))?;
     let told = async move {
@@ -43,5 +48,22 @@
             _ = interrupt.recv() => {}
         }
     };
-    ternstack_gateway::serve(config, listener, told).await
+    tokio::spawn(follow_the_file(hangup, discovery));
+    ternstack_gateway::serve(config, listener, discovery_now, told).await
+}
+
+/// Rereads the configuration at each SIGHUP and follows its `discovery`. What is wrong with a new file is told,
+/// and the old one stays in force.
+async fn follow_the_file(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        let read = tokio::task::spawn_blocking(Config::from_env_again).await;
+        match read.unwrap_or_else(|e| Err(e.to_string())) {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "configuration reread");
+                discovery
+                    .send_if_modified(|old| std::mem::replace(old, config.discovery) != config.discovery);
+            }
+            Err(problem) => error!("{problem}; the old configuration stays in force"),
+        }
+    }
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use ternstack_gateway::http1::{Ask, Reader, Start, Status, Whole, MAX_BODY};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -179,6 +179,8 @@
 
 pub struct Gateway {
     pub at: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: watch::Sender<SocketAddr>,
     stop: Option<oneshot::Sender<()>>,
     pub task: JoinHandle<Result<(), String>>,
 }
@@ -190,8 +192,9 @@
         let at = listener.local_addr().expect("an address");
         let (stop, told) = oneshot::channel();
         let told = async move { drop(told.await) };
-        let task = tokio::spawn(ternstack_gateway::serve(config, listener, told));
-        Gateway { at, stop: Some(stop), task }
+        let (discovery, now) = watch::channel(config.discovery);
+        let task = tokio::spawn(ternstack_gateway::serve(config, listener, now, told));
+        Gateway { at, discovery, stop: Some(stop), task }
     }
 
     pub fn stop(&mut self) {
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -248,6 +248,25 @@
     assert!(discovery.call().await.0.contains("after=42"));
 }
 
+#[tokio::test]
+async fn discovery_is_followed_at_once_where_it_moves_to() {
+    let (mut host, mut new) = (Host::start(SERVED).await, Host::start(SERVED).await);
+    let (mut before, mut after) = (Discovery::start().await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], before.at)).await;
+    let (_, waiting) = before.call().await;
+    gateway.discovery.send(after.at).expect("it is followed");
+    // The call that waits at the old address holds nothing up, and what it says then is not heard.
+    let (query, answer) = after.call().await;
+    assert_eq!(query, "/v1/endpoints");
+    let _ = waiting.send(ok(&list(42, true, vec![])));
+    assert_eq!(gateway.client().await.ask(&look("meanwhile")).await.start.0, 200);
+    assert_eq!(host.so_far().0, ["meanwhile"]);
+    answer.send(ok(&list(7, true, vec![target(2, new.at, "SERVING")]))).expect("asked");
+    assert!(after.call().await.0.contains("after=7"));
+    assert_eq!(gateway.client().await.ask(&look("moved")).await.start.0, 200);
+    assert_eq!((host.so_far().0.len(), new.so_far().0), (0, vec!["moved".to_string()]));
+}
+
 #[tokio::test]
 async fn told_to_stop_it_serves_what_is_owed_and_ends() {
     let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -199,42 +199,73 @@
     }
 }
 
-/// The program, started by a shell that may first lower its limits, and the address it listens on.
-fn started(limits: &str, name: &str) -> (std::process::Child, String) {
-    let file = std::env::temp_dir().join(format!("ternstack-{}-{name}.json", std::process::id()));
-    std::fs::write(&file, config(vec![], ([127, 0, 0, 1], 9).into()).to_string()).expect("it is written");
-    let script = format!("{limits} exec {}", env!("CARGO_BIN_EXE_ternstack-gateway"));
-    let mut shell = Command::new("sh");
-    shell.arg("-c").arg(script).env("LB_CONFIG", &file).stderr(Stdio::piped());
-    let mut child = shell.spawn().expect("it runs");
-    let log = std::io::BufReader::new(child.stderr.take().expect("a log"));
-    let mut lines = std::io::BufRead::lines(log).map_while(Result::ok);
-    let line = lines.find(|line| line.contains("serving")).expect("it serves");
-    // The rest of the log is read to its end, so that the program never writes to a closed pipe.
-    std::thread::spawn(move || lines.for_each(drop));
-    std::fs::remove_file(&file).expect("it is there");
-    let at = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()).expect("an address");
-    (child, at.to_string())
+/// The program, started by a shell that may first lower its limits; ended if the test fails.
+struct Program {
+    child: std::process::Child,
+    at: String,
+    file: std::path::PathBuf,
+    log: std::sync::mpsc::Receiver<String>,
 }
 
-fn terminate(mut child: std::process::Child) -> Option<i32> {
-    let kill = Command::new("sh").arg("-c").arg(format!("kill -TERM {}", child.id())).status();
-    assert!(kill.expect("a shell").success());
-    child.wait().expect("it ends").code()
+impl Program {
+    fn start(limits: &str, name: &str, config: &Value) -> Self {
+        let file = std::env::temp_dir().join(format!("ternstack-{}-{name}.json", std::process::id()));
+        std::fs::write(&file, config.to_string()).expect("it is written");
+        let script = format!("{limits} exec {}", env!("CARGO_BIN_EXE_ternstack-gateway"));
+        let mut shell = Command::new("sh");
+        let shell = shell.arg("-c").arg(script).env("LB_CONFIG", &file).stderr(Stdio::piped());
+        let mut child = shell.spawn().expect("it runs");
+        let log = std::io::BufReader::new(child.stderr.take().expect("a log"));
+        let (tell, lines) = std::sync::mpsc::channel();
+        // The log is read to its end, so that the program never writes to a closed pipe.
+        std::thread::spawn(move || {
+            for line in std::io::BufRead::lines(log).map_while(Result::ok) {
+                let _ = tell.send(line);
+            }
+        });
+        let mut program = Program { child, at: String::new(), file, log: lines };
+        let line = program.logs("serving");
+        let at = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
+        program.at = at.expect("an address").to_string();
+        program
+    }
+
+    /// The next log line with these words.
+    fn logs(&self, words: &str) -> String {
+        let mut lines = std::iter::from_fn(|| self.log.recv_timeout(LONG).ok());
+        lines.find(|line| line.contains(words)).expect(words)
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = Command::new("sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
+        assert!(kill.expect("a shell").success());
+    }
+
+    fn terminate(mut self) -> Option<i32> {
+        self.signal("TERM");
+        self.child.wait().expect("it ends").code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = (std::fs::remove_file(&self.file), self.child.kill(), self.child.wait());
+    }
 }
 
 #[test]
 fn the_program_outlives_a_lack_of_descriptors() {
-    let (child, at) = started("ulimit -n 40;", "few");
+    let program = Program::start("ulimit -n 40;", "few", &config(vec![], ([127, 0, 0, 1], 9).into()));
     // More clients than descriptors: the rest wait in the listener's queue.
-    let clients: Vec<_> = (0..60).map(|_| std::net::TcpStream::connect(&at).expect("it listens")).collect();
+    let clients: Vec<_> =
+        (0..60).map(|_| std::net::TcpStream::connect(&program.at).expect("it listens")).collect();
     drop(clients);
-    let mut client = std::net::TcpStream::connect(&at).expect("it still listens");
+    let mut client = std::net::TcpStream::connect(&program.at).expect("it still listens");
     std::io::Write::write_all(&mut client, b"GET /ready HTTP/1.1\r\n\r\n").expect("it reads");
     let mut start = [0; 12];
     std::io::Read::read_exact(&mut client, &mut start).expect("it answers");
     assert_eq!(&start, b"HTTP/1.1 200");
-    assert_eq!(terminate(child), Some(0));
+    assert_eq!(program.terminate(), Some(0));
 }
 
 #[test]
@@ -244,6 +275,32 @@
     assert!(!lost.status.success());
     assert!(String::from_utf8_lossy(&lost.stderr).contains("LB_CONFIG"));
 
-    let (child, _) = started("", "plain");
-    assert_eq!(terminate(child), Some(0));
+    let plain = Program::start("", "plain", &config(vec![], ([127, 0, 0, 1], 9).into()));
+    assert_eq!(plain.terminate(), Some(0));
+}
+
+#[tokio::test]
+async fn a_hangup_rereads_the_configuration_and_never_ends_the_program() {
+    let (mut before, mut after) = (Discovery::start().await, Discovery::start().await);
+    let program = Program::start("", "hangup", &config(vec![], before.at));
+    let (_, _waiting) = before.call().await;
+    // What is wrong is told by its key, and the old configuration stays.
+    std::fs::write(&program.file, config(vec![], after.at).to_string().replace("\"look\"", "7"))
+        .expect("written");
+    program.signal("HUP");
+    assert!(program.logs("stays in force").contains("classes[].name"));
+    std::fs::write(&program.file, config(vec![], after.at).to_string()).expect("written");
+    program.signal("HUP");
+    assert_eq!(after.call().await.0, "/v1/endpoints");
+    assert_eq!(program.terminate(), Some(0));
+}
+
+#[test]
+fn a_replaced_file_goes_before_the_variable_that_cannot_change() {
+    let text = config(vec![], ([127, 0, 0, 1], 9).into()).to_string();
+    let variable = |name: &str| (name == "LB_DISCOVERY").then(|| "127.0.0.1:8".to_string());
+    assert_eq!(Config::read(&text, variable).expect("sound").discovery.port(), 8);
+    assert_eq!(Config::reread(&text, variable).expect("sound").discovery.port(), 9);
+    let text = text.replace("\"discovery\":\"127", "\"elsewhere\":\"127");
+    assert_eq!(Config::reread(&text, variable).expect("sound").discovery.port(), 8);
 }
