Count errors by host and class, tell a try's age by its deadline, hold less out

Probes: (1) patience as it arrives: 764 ms or, of last tries, all that is left of the deadline (1661). The module took the longest for that of a first try, so one last try made all first tries "late", refused 80% of them at once, which bred more last tries. (2) the module's state every 250 ms: 4 of 9 hosts ejected within 100 ms at 21.4 s, the other 5 tipped into their slow state and the fleet never came back. (3) each failed relay with host and class: all errors are of class 0 at the 4 newest hosts; their class 1 is served.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,14 +11,14 @@
 const WEIGHT_FLOOR: f64 = 0.25; // A server's weight is at least this part of the mean weight.
 const REPORT_GAIN: f64 = 0.3; // Part of a new report that enters a server's smoothed weight.
 const LATENCY_GAIN: f64 = 0.05; // Part of a new latency that enters a class's smoothed latency.
-const QUEUE_PART: f64 = 0.4; // What is out at a server may take this part of the shortest aim to drain.
+const QUEUE_PART: f64 = 0.25; // What is out at a server may take this part of the shortest aim to drain.
 const USERS: f64 = 12.0; // So many gateways use a server, each for its part of the traffic, and
 const FEW: f64 = 2.0; // each gateway uses so many servers at least.
 pub(crate) const TRUST: f64 = 1.0; // A crowd that is told of counts as so many own requests.
 const HELD_FULL: f64 = 4.0; // A server is full that holds so many requests a core, by a live weight.
 const CROWD_GAIN: f64 = 0.5; // Part of a new sample that enters a server's smoothed crowd.
 pub(crate) const FIRST_SPILL: f64 = 0.3; // The part that spills before the load of zones is known.
-const SPILL_MS: f64 = 3000.0; // An own zone busier by one than its target spills all after this.
+const SPILL_AIMS: f64 = 3.75; // An own zone busier by one than its target spills all after so many aims.
 const SPILL: f64 = 0.6; // The own zone is preferred while a server there is filled less than this.
 const BLIND_BOUND: f64 = 8.0; // What all gateways may have out at a server of which nothing is known.
 const ROOM: f64 = 0.85; // A limit is not enforced while the fleet is filled less than this.
@@ -31,10 +31,10 @@
 const STALL_PART: f64 = 0.5; // An attempt given this part of its aim that got no answer has stalled.
 const STALL_SHED: f64 = 0.95; // At most so much of what stalls everywhere is refused: the rest is a trial.
 const EJECT_PART: f64 = 0.45; // A server is ejected that fails so much more than the mean: three in a row.
-const FAULT_MS: f64 = 4000.0; // A server's part comes half as near to the mean in this time without outcomes.
+const FAULT_AIMS: f64 = 5.0; // A part comes half as near to the mean in so many aims without outcomes.
 const FAULT_POWER: i32 = 4; // Weights fall with this power of the part that does not fail.
-const EJECT_MS: f64 = 1000.0; // Until an ejected server's first trial; doubles up to MAX_EJECT_MS.
-const MAX_EJECT_MS: f64 = 4000.0;
+const EJECT_AIMS: f64 = 1.25; // Until an ejected server's first trial; doubles up to MAX_EJECT_AIMS.
+const MAX_EJECT_AIMS: f64 = 5.0;
 const UNLISTED_MS: f64 = 60_000.0; // So long a server that the list no longer has is kept without an answer.
 const COLD_AFTER_MS: f64 = 8000.0; // A server back after so long a silence counts as cold.
 const COLD_PART: f64 = 0.25; // Slow start uses this part of the multiple at which a cold server falls over.
@@ -45,10 +45,11 @@
 const SQUEEZE_GAIN: f64 = 0.05; // A good answer gives back this.
 const GOOD_PART: f64 = 0.75; // An answer within this part of its aim is good.
 const SQUEEZE_FLOOR: f64 = 0.4; // When all servers are slow at once their cores must not stand idle.
-const FULL_MS: f64 = 200.0; // A full server is left alone for this long.
+const FULL_AIMS: f64 = 0.25; // A full server is left alone for this long.
 const PROBE_MS: f64 = 1500.0; // Interval of probes to a server, where reports come by probe only.
 const PROBE_PART: f64 = 0.15; // Probes may be this part of the requests, lest many gateways' load servers.
-const PATIENCE_FADE: f64 = 0.9999; // Each request fades the longest patience, lest one odd client set it.
+const ODD_PATIENCE: f64 = 0.05; // A patience further than this part of the deadline from the usual is odd.
+const USUAL_VOTES: f64 = 50.0; // The usual patience yields once odd ones outnumber it by so many.
 pub(crate) const WATCH_MS: f64 = 200.0; // First pause before subscribing anew, doubled and jittered.
 pub(crate) const WAKE_MS: f64 = 10.0; // Held requests and probes are looked after this often.
 pub(crate) const LOG_MS: f64 = 5000.0; // Refusals are summed up in a log line at most this often.
@@ -138,7 +139,7 @@
     fn learn_spill(&mut self, now: f64) {
         let (Some(own), far) = (self.busy(0), self.busy(1).unwrap_or(SPILL)) else { return };
         let excess = own - far - self.settings.cross_price;
-        let part = (now - self.spill_at).min(SPILL_MS) / SPILL_MS;
+        let part = ((now - self.spill_at) / (SPILL_AIMS * self.aim)).min(1.0);
         (self.spill, self.spill_at) = ((self.spill + excess * part).clamp(0.0, 0.9), now);
     }
 
@@ -203,7 +204,8 @@
     /// What an attempt's end tells of its server.
     pub(crate) fn on_server_news(&mut self, now: f64, end: &AttemptEnd) {
         let typical = 2.0 * self.latency.iter().copied().fold(0.0, f64::max);
-        let aim = self.requests.get(&end.request).map(|r| self.settings.classes[r.class].aim_ms);
+        let class = self.requests.get(&end.request).map(|r| r.class);
+        let aim = class.map(|class| self.settings.classes[class].aim_ms);
         let patient = aim.map_or(typical, |aim| typical.min(STALL_PART * aim));
         // Guards against a server that answers, but far later than its peers and the aim.
         let slow = end.outcome == Outcome::Served && end.latency_ms > typical.max(self.aim);
@@ -214,17 +216,28 @@
         let excuse = if tells { self.judge(end.request, [failed, stalled]) } else { 0.0 };
         // Guards against ejecting most of the fleet when everything fails or is slow at once.
         let mean = self.mean_fault();
+        let of_class = class.map(|class| (class, self.mean_errors(class)));
+        let (aim, half) = (self.aim, FAULT_AIMS * self.aim);
         let Some(s) = self.fleet.servers.get_mut(&end.server) else { return };
         if tells {
-            (s.fail, s.judged_at) = (Self::fault(now, s, mean), now);
+            s.fail = (Self::fault(now, s.fail, mean, half), now);
+        }
+        // Guards against giving up a server, and with it those that then do its work, for a class that
+        // it fails: it answered, and serves the rest.
+        let error = end.outcome == Outcome::ServerError;
+        if let Some((class, mean)) = of_class.filter(|_| error || end.outcome == Outcome::Served) {
+            s.errors.resize(self.settings.classes.len(), (0.0, now));
+            let part = Self::fault(now, s.errors[class], mean, half);
+            let seen = if error { 1.0 - excuse } else { 0.0 };
+            s.errors[class] = (part + FAULT_GAIN * (seen - part), now);
         }
         s.out = s.out.saturating_sub(1);
         match end.outcome {
             Outcome::Served | Outcome::TurnedAway if !slow => {
-                s.fail -= FAULT_GAIN * s.fail;
+                s.fail.0 -= FAULT_GAIN * s.fail.0;
                 // Guards against a black hole: a full server answers fastest and looks the emptiest.
                 if end.outcome == Outcome::TurnedAway {
-                    s.next_send = now + FULL_MS;
+                    s.next_send = now + FULL_AIMS * aim;
                 }
                 // A machine back from silence may have restarted: cold before the list says so.
                 if s.ejected.take().is_some() && now - s.heard_at > COLD_AFTER_MS {
@@ -235,18 +248,20 @@
             Outcome::CalledOff | Outcome::NotSent => {}
             // Guards against blaming a server for an attempt that was sent too late to be answered.
             Outcome::NoAnswer if !stalled => {}
+            Outcome::ServerError => (s.quiet_since, s.heard_at, s.ejected) = (now, now, None),
             _ => {
-                if slow || end.outcome == Outcome::ServerError {
+                if slow {
                     (s.quiet_since, s.heard_at) = (now, now);
                 }
-                s.fail += FAULT_GAIN * (1.0 - excuse - s.fail);
+                s.fail.0 += FAULT_GAIN * (1.0 - excuse - s.fail.0);
                 // Guards against a list that names what does not exist, or keeps what has died: without its
                 // word, or an answer ever, the first failed connection is enough.
                 let dead = (!s.proven || s.unlisted.is_some()) && end.outcome == Outcome::NoConnection;
-                if dead || (s.fail - mean) / (1.0 - mean).max(0.5) > EJECT_PART || s.ejected.is_some() {
-                    let wait = s.ejected.map_or(EJECT_MS, |(_, wait)| (wait * 2.0).min(MAX_EJECT_MS));
+                if dead || Self::outlier(s.fail.0, mean) || s.ejected.is_some() {
+                    let longest = MAX_EJECT_AIMS * aim;
+                    let wait = s.ejected.map_or(EJECT_AIMS * aim, |(_, wait)| (wait * 2.0).min(longest));
                     s.ejected = Some((now + wait, wait));
-                    if s.unlisted.is_some() && wait >= MAX_EJECT_MS {
+                    if s.unlisted.is_some() && wait >= longest {
                         s.listed.readiness = Readiness::Left;
                         self.follow(&[]);
                     }
@@ -257,12 +272,22 @@
     }
 
     fn mean_fault(&self) -> f64 {
-        self.fleet.mean(|s| s.ejected.is_none().then_some(s.fail)).unwrap_or(0.0)
+        self.fleet.mean(|s| s.ejected.is_none().then_some(s.fail.0)).unwrap_or(0.0)
+    }
+
+    /// The mean part of a class's answers that are errors.
+    fn mean_errors(&self, class: usize) -> f64 {
+        self.fleet.mean(|s| s.errors.get(class).map(|e| e.0)).unwrap_or(0.0)
+    }
+
+    /// A part of failures, nearer to the mean the longer ago it was learnt: the unlucky get a trial.
+    fn fault(now: f64, (part, at): (f64, f64), mean: f64, half: f64) -> f64 {
+        mean + (part - mean) * 0.5f64.powf((now - at) / half)
     }
 
-    /// A server's part of failures, nearer to the mean the longer ago it was learnt: the unlucky get a trial.
-    fn fault(now: f64, s: &Server, mean: f64) -> f64 {
-        mean + (s.fail - mean) * 0.5f64.powf((now - s.judged_at) / FAULT_MS)
+    /// Whether a part of failures lies so far over the mean that its server gets nothing but trials.
+    fn outlier(part: f64, mean: f64) -> bool {
+        (part - mean) / (1.0 - mean).max(0.5) > EJECT_PART
     }
 
     /// How far a tenant or class, more than all others, accounts for a failure (0) or a stall (1).
@@ -347,7 +372,8 @@
     fn pick(&mut self, now: f64, request: &Request) -> Option<ServerId> {
         let class = &self.settings.classes[request.class];
         let mean = self.mean_capacity();
-        let fault = self.mean_fault();
+        let (fault, errors, half) =
+            (self.mean_fault(), self.mean_errors(request.class), FAULT_AIMS * self.aim);
         let typical = self.latency.iter().copied().fold(0.0, f64::max);
         let ran = request.ran();
         let (mut own, mut far, mut spare) = (Vec::new(), Vec::new(), false);
@@ -374,7 +400,8 @@
             // Guards against a hung or silent server: with work out and nothing heard, it gets nothing new.
             let silent = s.out > 0 && now - s.quiet_since > SILENT_AFTER * typical;
             let filled = f64::from(s.out) / self.bound(now, s, mean).max(1.0);
-            if silent || filled >= 1.0 || now < s.next_send {
+            let wrong = s.errors.get(request.class).map_or(0.0, |e| Self::fault(now, *e, errors, half));
+            if silent || filled >= 1.0 || now < s.next_send || Self::outlier(wrong, errors) {
                 continue;
             }
             // Guards against a handshake for each request, where idle connections close soon.
@@ -383,7 +410,7 @@
                 * self.weight(now, s, mean)
                 * (1.0 - filled)
                 * s.squeeze
-                * (1.0 - Self::fault(now, s, fault)).powi(FAULT_POWER)
+                * ((1.0 - Self::fault(now, s.fail, fault, half)) * (1.0 - wrong)).powi(FAULT_POWER)
                 / (1.0 + HELD_FULL * s.crowd);
             if s.listed.zone == self.settings.zone {
                 spare |= filled < SPILL;
@@ -414,11 +441,10 @@
         }
         let fill = self.fill(now);
         let full = fill >= ROOM;
+        // Worth counts from the first try: what comes too late to earn any is served only where there is
+        // room.
+        let age = self.age(class, patience_ms);
         let c = &self.settings.classes[class];
-        // A patience under the class's longest tells how long the client has been at it at least, and worth
-        // counts from its first try: what comes too late to earn any is served only where there is room.
-        self.patience[class] = (self.patience[class] * PATIENCE_FADE).max(patience_ms);
-        let age = self.patience[class] - patience_ms;
         let late = age + self.latency[class].min(c.aim_ms / 2.0) > c.aim_ms;
         // A late answer's part of the worth is the chance that a full fleet takes the time for it.
         let to_the_end =
@@ -454,6 +480,21 @@
         }
     }
 
+    /// How long a client has been at it. Guards against taking the longest patience for a first try's: a
+    /// try waits for a usual time, except the last one, which waits for what is left of the deadline, be it
+    /// more or less. Whatever is not usual thus tells its age, and what is usual most often is a first try.
+    fn age(&mut self, class: usize, patience_ms: f64) -> f64 {
+        let deadline = self.settings.classes[class].deadline_ms;
+        let (usual, votes) = &mut self.usual[class];
+        let odd = |usual: f64| (patience_ms - usual).abs() > ODD_PATIENCE * deadline;
+        match odd(*usual) {
+            false => *votes = (*votes + 1.0).min(USUAL_VOTES),
+            true if *votes >= 1.0 => *votes -= 1.0,
+            true => (*usual, *votes) = (patience_ms, 1.0),
+        }
+        f64::from(u8::from(odd(*usual))) * (deadline - patience_ms).max(0.0)
+    }
+
     /// Holds the request until there is room, if it could then still be in time; else ends it at once.
     /// Guards against a client gone before the next wake: its patience may be shorter than that.
     fn hold(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
@@ -658,7 +699,7 @@
                 new.push(member.server);
             }
             if young && member.started_at > s.young_since {
-                (s.young_since, s.fail, s.ejected, s.weight, s.capacity) =
+                (s.young_since, s.fail.0, s.ejected, s.weight, s.capacity) =
                     (member.started_at, 0.0, None, None, None);
                 // Guards against all gateways' first requests at once: they spread over the first pace.
                 s.next_send = now + pace.min(self.settings.cold_ms) * self.rng.rand_float();
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,14 +16,14 @@
     pub sent: Rate,
     pub quiet_since: f64,            // With work out: since when nothing has been heard.
     pub heard_at: f64,               // When an attempt was last answered.
-    pub fail: f64, // Part of the attempts that failed by its own fault, decaying with each outcome;
-    pub judged_at: f64, // when it last changed.
-    pub squeeze: f64, // Part of the bound in use: falls with late answers, recovers with good ones.
+    pub fail: (f64, f64), // Part of the attempts that it left unanswered, and when that last changed.
+    pub errors: Vec<(f64, f64)>, // The same for its answers that were errors, by class.
+    pub squeeze: f64,     // Part of the bound in use: falls with late answers, recovers with good ones.
     pub ejected: Option<(f64, f64)>, // While ejected: the next trial's time, and the wait if that fails.
-    pub proven: bool, // Has served, or was listed at the start.
+    pub proven: bool,     // Has served, or was listed at the start.
     pub unlisted: Option<f64>, // Kept though the list no longer has it: since when.
     pub young_since: f64, // Counts as cold from here on, as listed or as seen by a return from silence.
-    pub next_send: f64, // Where sends are paced: the next one's time.
+    pub next_send: f64,   // Where sends are paced: the next one's time.
     pub next_probe: f64,
 }
 
@@ -122,11 +122,11 @@
     pub(crate) watch_at: Option<f64>,
     pub(crate) refused: [u32; 3], // Since the last line: over the limit, no room, too late to earn.
     pub(crate) logged_at: f64,
-    pub(crate) patience: Vec<f64>, // The longest seen of each class: a shorter one betrays a later try.
-    pub(crate) even: f64,          // An even part: 1 / gateways.
-    pub(crate) fraction: f64,      // This gateway's part of the fleet's traffic.
-    pub(crate) aim: f64,           // The shortest aim.
-    pub(crate) has_safe: bool,     // Some class may be repeated at will: it gives the half-open trials.
+    pub(crate) usual: Vec<(f64, f64)>, // Each class's usual patience of a try, and the votes for it.
+    pub(crate) even: f64,              // An even part: 1 / gateways.
+    pub(crate) fraction: f64,          // This gateway's part of the fleet's traffic.
+    pub(crate) aim: f64,               // The shortest aim.
+    pub(crate) has_safe: bool,         // Some class may be repeated at will: it gives the half-open trials.
 }
 
 impl Balancer {
@@ -156,7 +156,7 @@
             logged_at: 0.0,
             even: 1.0 / f64::from(settings.instances),
             fraction: 1.0 / f64::from(settings.instances),
-            patience: vec![0.0; settings.classes.len()],
+            usual: vec![(0.0, 0.0); settings.classes.len()],
             aim: settings.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min),
             has_safe: settings.classes.iter().any(|c| c.effect == Effect::Safe),
             settings,
