Size new hosts by the fleet until they are used, and try a failing class at times

Ruled out: too high a bound in general (2 or 3 out for each gateway at those hosts by then); ejections (none). Faulty: mean_errors() as the yardstick, the decay that drew failing hosts again without a trial, and on_report(), which believed capacities read off hardly busy hosts.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -8,6 +8,7 @@
 const HALFLIFE_MS: f64 = 2000.0; // Of the rate estimates: past chance clusters, yet soon enough for a burst.
 const UTIL_FLOOR: f64 = 0.2; // Reported utilisation counts as this at least, as the design has it.
 const UTIL_SEEN: f64 = 0.03; // The least utilisation that tells a capacity apart from noise.
+const UTIL_SURE: f64 = 0.5; // From this utilisation on a report tells the whole of a capacity.
 const WEIGHT_FLOOR: f64 = 0.25; // A server's weight is at least this part of the mean weight.
 const REPORT_GAIN: f64 = 0.3; // Part of a new report that enters a server's smoothed weight.
 const LATENCY_GAIN: f64 = 0.05; // Part of a new latency that enters a class's smoothed latency.
@@ -31,6 +32,9 @@
 const STALL_PART: f64 = 0.5; // An attempt given this part of its aim that got no answer has stalled.
 const STALL_SHED: f64 = 0.95; // At most so much of what stalls everywhere is refused: the rest is a trial.
 const EJECT_PART: f64 = 0.45; // A server is ejected that fails so much more than the mean: three in a row.
+const TRUST_AGAIN: f64 = 0.5; // The same of a served one, in the part of a class's answers that are errors.
+const ERROR_PART: f64 = 0.6; // A class is left out at a server that fails so much more of it than the best.
+const TRIAL_AIMS: f64 = 4.0; // A server that fails a class is tried with one of it this often.
 const FAULT_AIMS: f64 = 5.0; // A part comes half as near to the mean in so many aims without outcomes.
 const FAULT_POWER: i32 = 4; // Weights fall with this power of the part that does not fail.
 const EJECT_AIMS: f64 = 1.25; // Until an ejected server's first trial; doubles up to MAX_EJECT_AIMS.
@@ -183,6 +187,7 @@
     }
 
     pub(crate) fn on_report(&mut self, id: ServerId, report: Report) {
+        let mean = self.fleet.mean(|s| s.capacity);
         let Some(s) = self.fleet.servers.get_mut(&id) else { return };
         let (Some(u), Some(t)) = (report.utilization, report.throughput) else { return };
         if !u.is_finite() || !t.is_finite() || u < 0.0 || t < 0.0 || report == s.last_report {
@@ -191,7 +196,10 @@
         let smooth = |old: Option<f64>, new: f64| Some(old.map_or(new, |w| w + REPORT_GAIN * (new - w)));
         s.weight = smooth(s.weight, t / u.clamp(UTIL_FLOOR, 1.0));
         if t > 0.0 {
-            s.capacity = smooth(s.capacity, t / u.clamp(UTIL_SEEN, 1.0));
+            // Guards against flooding what is new: hardly used, it looks far larger than it is.
+            let (new, sure) = (t / u.clamp(UTIL_SEEN, 1.0), (u / UTIL_SURE).min(1.0));
+            let gain = sure * if s.capacity.is_some() { REPORT_GAIN } else { 1.0 };
+            s.capacity = Some(s.capacity.or(mean).map_or(new, |w| w + gain * (new - w)));
         }
         if let (Some(backlog), false) = (report.backlog, self.settings.live_weights) {
             let may_wait = s.capacity.unwrap_or(t) * self.aim * QUEUE_PART / 1000.0;
@@ -216,7 +224,9 @@
         let excuse = if tells { self.judge(end.request, [failed, stalled]) } else { 0.0 };
         // Guards against ejecting most of the fleet when everything fails or is slow at once.
         let mean = self.mean_fault();
-        let of_class = class.map(|class| (class, self.mean_errors(class)));
+        let tenant = self.requests.get(&end.request).and_then(|r| r.tenant);
+        let all = self.faults[self.faults.len() - 1][0];
+        let of_tenant = tenant.map_or(0.0, |t| (self.faults[t][0] - all) / (1.0 - all).max(0.2));
         let (aim, half) = (self.aim, FAULT_AIMS * self.aim);
         let Some(s) = self.fleet.servers.get_mut(&end.server) else { return };
         if tells {
@@ -225,11 +235,11 @@
         // Guards against giving up a server, and with it those that then do its work, for a class that
         // it fails: it answered, and serves the rest.
         let error = end.outcome == Outcome::ServerError;
-        if let Some((class, mean)) = of_class.filter(|_| error || end.outcome == Outcome::Served) {
+        if let Some(class) = class.filter(|_| error || end.outcome == Outcome::Served) {
             s.errors.resize(self.settings.classes.len(), (0.0, now));
-            let part = Self::fault(now, s.errors[class], mean, half);
-            let seen = if error { 1.0 - excuse } else { 0.0 };
-            s.errors[class] = (part + FAULT_GAIN * (seen - part), now);
+            let part = s.errors[class].0;
+            let gain = if error { FAULT_GAIN * (1.0 - of_tenant.max(0.0)) } else { TRUST_AGAIN };
+            s.errors[class] = (part + gain * (f64::from(u8::from(error)) - part), now);
         }
         s.out = s.out.saturating_sub(1);
         match end.outcome {
@@ -275,9 +285,9 @@
         self.fleet.mean(|s| s.ejected.is_none().then_some(s.fail.0)).unwrap_or(0.0)
     }
 
-    /// The mean part of a class's answers that are errors.
-    fn mean_errors(&self, class: usize) -> f64 {
-        self.fleet.mean(|s| s.errors.get(class).map(|e| e.0)).unwrap_or(0.0)
+    /// The least part of a class's answers that are errors: where all servers fail it, none is left out.
+    fn least_errors(&self, class: usize) -> f64 {
+        self.fleet.active().map(|s| s.errors.get(class).map_or(0.0, |e| e.0)).fold(1.0, f64::min)
     }
 
     /// A part of failures, nearer to the mean the longer ago it was learnt: the unlucky get a trial.
@@ -372,8 +382,8 @@
     fn pick(&mut self, now: f64, request: &Request) -> Option<ServerId> {
         let class = &self.settings.classes[request.class];
         let mean = self.mean_capacity();
-        let (fault, errors, half) =
-            (self.mean_fault(), self.mean_errors(request.class), FAULT_AIMS * self.aim);
+        let (fault, half) = (self.mean_fault(), FAULT_AIMS * self.aim);
+        let errors = self.least_errors(request.class);
         let typical = self.latency.iter().copied().fold(0.0, f64::max);
         let ran = request.ran();
         let (mut own, mut far, mut spare) = (Vec::new(), Vec::new(), false);
@@ -400,8 +410,14 @@
             // Guards against a hung or silent server: with work out and nothing heard, it gets nothing new.
             let silent = s.out > 0 && now - s.quiet_since > SILENT_AFTER * typical;
             let filled = f64::from(s.out) / self.bound(now, s, mean).max(1.0);
-            let wrong = s.errors.get(request.class).map_or(0.0, |e| Self::fault(now, *e, errors, half));
-            if silent || filled >= 1.0 || now < s.next_send || Self::outlier(wrong, errors) {
+            let (wrong, at) = s.errors.get(request.class).copied().unwrap_or_default();
+            if silent || filled >= 1.0 || now < s.next_send {
+                continue;
+            }
+            if wrong - errors > ERROR_PART {
+                if now - at > TRIAL_AIMS * self.aim && request.attempts.is_empty() {
+                    return Some(id);
+                }
                 continue;
             }
             // Guards against a handshake for each request, where idle connections close soon.
@@ -530,6 +546,9 @@
                 s.out += 1;
                 s.sent.add(now);
                 s.next_send = now + pace;
+                if let Some(errors) = s.errors.get_mut(request.class) {
+                    errors.1 = now;
+                }
                 s.ejected = s.ejected.map(|(_, wait)| (now + wait, wait));
             }
             actions.push(Action::Send { request: id, server, until });
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -804,3 +804,20 @@
     assert!(sent_to[0][1] < 60, "{sent_to:?}");
     assert!(sent_to[1][1] > 140, "{sent_to:?}");
 }
+
+#[test]
+fn a_new_server_is_not_taken_for_a_large_one_while_hardly_used() {
+    let mut bench = Bench::new(settings(), 3);
+    for n in 0..200 {
+        bench.now += 10.0;
+        bench.serve(&|_| report(160.0 + f64::from(n % 2), 0.8));
+    }
+    bench.list(ListKind::Changes, vec![member(3)]);
+    let new = |s: ServerId| if s.0 == 3 { report(20.0, 0.05) } else { report(160.0, 0.8) };
+    while bench.serve(&new) != Some(ServerId(3)) {
+        bench.now += 10.0;
+    }
+    let mut out = [0u32; 4];
+    fill(&mut bench).iter().for_each(|(_, to)| out[to.0 as usize] += 1);
+    assert!(out[3] > 0 && out[3] <= out[0] + 2, "{out:?}");
+}
