--- a/src/balance.rs
+++ b/src/balance.rs
@@ -193,8 +193,8 @@
         if !u.is_finite() || !t.is_finite() || u < 0.0 || t < 0.0 || report == s.last_report {
             return;
         }
-        let smooth = |old: Option<f64>, new: f64| Some(old.map_or(new, |w| w + REPORT_GAIN * (new - w)));
-        s.weight = smooth(s.weight, t / u.clamp(UTIL_FLOOR, 1.0));
+        let new = t / u.clamp(UTIL_FLOOR, 1.0);
+        s.weight = Some(s.weight.map_or(new, |w| w + REPORT_GAIN * (new - w)));
         if t > 0.0 {
             // Guards against flooding what is new: hardly used, it looks far larger than it is.
             let (new, sure) = (t / u.clamp(UTIL_SEEN, 1.0), (u / UTIL_SURE).min(1.0));
