Refuse ids of open messages, end idle clients after 2 s, let hosts go by uid

Faulty: intake (IDLE_TIME, READ_TIME, linger, no look at open ids), relay (Pool by SocketAddr), decide (hosts: Vec), http1 (next). Tests come with each.

--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -6,6 +6,7 @@
 use crate::relay::{Envelope, Relay, RelayEnd, SouthSide};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use ternstack::{
     Action, Arrival, AttemptEnd, Balancer, Class, Effect, Event, ListKind, Member, Outcome, Readiness,
     Report, RequestId, ServerId,
@@ -77,6 +78,7 @@
 struct Listed {
     endpoint: Option<SocketAddr>,
     boot_ms: f64,
+    life: Arc<()>,
 }
 
 /// How long hosts drop repeats of a message of a class, where they do.
@@ -99,7 +101,8 @@
     due: BTreeMap<(Instant, u64), Due>,
     last_due: u64,
     numbers: HashMap<String, ServerId>,
-    hosts: Vec<Listed>,
+    hosts: BTreeMap<ServerId, Listed>,
+    last_host: u32,
     south: SouthSide,
     watch: mpsc::Sender<()>,
     events: VecDeque<Event>,
@@ -125,7 +128,8 @@
             due: BTreeMap::new(),
             last_due: 0,
             numbers: HashMap::new(),
-            hosts: Vec::new(),
+            hosts: BTreeMap::new(),
+            last_host: 0,
             south,
             watch,
             events: VecDeque::new(),
@@ -253,18 +257,21 @@
         let first = open.relays.iter().find(|sent| sent.may_have_run);
         let window = self.windows.get(open.class).copied().flatten();
         let send_by = first.zip(window).map(|(first, window)| self.clock.instant(first.at + window));
-        let host = self.hosts.get(server.0 as usize).and_then(|host| host.endpoint);
+        let host =
+            self.hosts.get(&server).and_then(|host| Some((host.endpoint?, Arc::downgrade(&host.life))));
         // Never sent: what has its answer, what has no time left, and what is one too many.
         let sent =
             host.filter(|_| open.answer_to.is_some() && number < self.max_relays && until > Instant::now());
         let (call_off, called_off) = oneshot::channel();
         open.relays.push(Sent { server, at: self.now, may_have_run: true, call_off: Some(call_off) });
         open.out += 1;
-        if let Some(host) = sent {
+        if let Some((host, life)) = sent {
             let envelope = open.envelope.clone();
             self.south.start(Relay {
                 message: id,
                 number: number as u32,
+                server,
+                life,
                 host,
                 envelope,
                 until,
@@ -347,9 +354,10 @@
         if let Some(id) = self.numbers.get(uid) {
             return *id;
         }
-        let id = ServerId(self.hosts.len() as u32);
+        let id = ServerId(self.last_host);
+        self.last_host += 1;
         self.numbers.insert(uid.to_string(), id);
-        self.hosts.push(Listed { endpoint: None, boot_ms: 0.0 });
+        self.hosts.insert(id, Listed { endpoint: None, boot_ms: 0.0, life: Arc::new(()) });
         id
     }
 
@@ -358,12 +366,13 @@
         let mut members = Vec::with_capacity(inventory.targets.len());
         for host in inventory.targets {
             let server = self.number(&host.uid);
-            let listed = &mut self.hosts[server.0 as usize];
+            let Some(listed) = self.hosts.get_mut(&server) else { continue };
             let moved = listed.endpoint != host.endpoint || listed.boot_ms != host.boot_ms;
-            if let Some(old) = listed.endpoint.filter(|_| moved || host.state != State::Serving) {
-                self.south.forget(old);
+            if moved || host.state != State::Serving {
+                listed.life = Arc::new(());
+                self.south.forget(server);
             }
-            *listed = Listed { endpoint: host.endpoint.or(listed.endpoint), boot_ms: host.boot_ms };
+            (listed.endpoint, listed.boot_ms) = (host.endpoint.or(listed.endpoint), host.boot_ms);
             members.push(Member {
                 server,
                 zone: self.names.zone(&host.az),
@@ -379,10 +388,10 @@
             });
         }
         if kind == ListKind::Whole {
-            for (n, host) in self.hosts.iter().enumerate() {
-                let listed = members.iter().any(|m| m.server.0 as usize == n);
-                if let Some(old) = host.endpoint.filter(|_| !listed) {
-                    self.south.forget(old);
+            for (server, host) in self.hosts.iter_mut() {
+                if !members.iter().any(|m| m.server == *server) {
+                    host.life = Arc::new(());
+                    self.south.forget(*server);
                 }
             }
         }
@@ -390,5 +399,9 @@
             warn!("the inventory is empty");
         }
         self.feed(Event::List { kind, members });
+        // Guards against a table that grows with each host that ever was: what the module has forgotten goes.
+        let balancer = &self.balancer;
+        self.hosts.retain(|server, _| balancer.knows(*server));
+        self.numbers.retain(|_, server| balancer.knows(*server));
     }
 }
--- a/gateway/src/http1.rs
+++ b/gateway/src/http1.rs
@@ -14,6 +14,8 @@
 const READ_AT_ONCE: usize = 2048;
 /// The most header fields of a message.
 const MAX_FIELDS: usize = 64;
+/// The most answers that may come before the real one.
+const MAX_INTERIM: usize = 16;
 /// The longest line that may stand before a chunk, its extensions included.
 const MAX_CHUNK_LINE: usize = 256;
 
@@ -56,6 +58,11 @@
         self.get(name).and_then(|value| std::str::from_utf8(value).ok())
     }
 
+    /// The first value of a field as the bytes that came, on their own: it keeps no head in memory.
+    pub fn bytes(&self, name: &str) -> Option<Bytes> {
+        self.get(name).map(Bytes::copy_from_slice)
+    }
+
     /// All fields as (name, value).
     pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.places.iter().map(|(name, value)| (&self.head[name.clone()], &self.head[value.clone()]))
@@ -275,13 +282,14 @@
     begun: Option<Begun<S>>,
     parse_at: usize,
     seen: usize,
+    interim: usize,
     max_body: usize,
 }
 
 impl<S: Start> Reader<S> {
     /// A reader of messages with bodies of at most `max_body` bytes.
     pub fn new(max_body: usize) -> Self {
-        Reader { buffer: BytesMut::new(), begun: None, parse_at: 1, seen: 0, max_body }
+        Reader { buffer: BytesMut::new(), begun: None, parse_at: 1, seen: 0, interim: 0, max_body }
     }
 
     /// Where the next bytes of the connection go.
@@ -290,6 +298,11 @@
         &mut self.buffer
     }
 
+    /// True once any byte of the next message has come.
+    pub fn has_begun(&self) -> bool {
+        self.interim > 0 || !self.is_idle()
+    }
+
     /// True between two messages, with no byte of the next.
     pub fn is_idle(&self) -> bool {
         self.begun.is_none() && self.buffer.is_empty()
@@ -313,8 +326,14 @@
             };
             begun.message.body = body;
             if !begun.message.start.is_interim() {
+                self.interim = 0;
                 return Ok(Some(begun.message));
             }
+            // Guards against a sender of nothing but answers before the real one.
+            self.interim += 1;
+            if self.interim > MAX_INTERIM {
+                return Err(Malformed::Head);
+            }
         }
     }
 
--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -6,29 +6,33 @@
 use crate::decide::{Input, Message, Queue};
 use crate::http1::{Ask, Reader, Whole, MAX_BODY};
 use crate::relay::Envelope;
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
+use std::collections::{BTreeMap, HashSet};
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use ternstack::{Effect, RequestId};
 use ternstack_settings::Site;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::{debug, warn};
 
-/// A message must have come whole this long after its first byte.
-const READ_TIME: Duration = Duration::from_secs(5);
+/// A message must have come whole this long after its first byte, and a first one after the connection: whoever
+/// sends what never ends is owed an error within 3 s.
+const READ_TIME: Duration = Duration::from_millis(2500);
 /// An answer must have been taken this long after it was written.
 const WRITE_TIME: Duration = Duration::from_secs(5);
-/// A client's connection may stand idle for so long.
-const IDLE_TIME: Duration = Duration::from_secs(75);
+/// A client's connection may stand idle for so long. Clients that ask once keep theirs for good, and what they
+/// hold is missing where others want to connect.
+const IDLE_TIME: Duration = Duration::from_secs(2);
 /// After the last answer, what the client is still sending is read for so long, lest the answer be lost.
 const LINGER: Duration = Duration::from_millis(500);
-/// The most bytes that are read in that time.
-const LINGER_BYTES: usize = 256 * 1024;
+/// So many bytes are read at once in that time, with a pause after each, lest a flood cost the others their CPU.
+const LINGER_BYTES: usize = 64 * 1024;
+const LINGER_PAUSE: Duration = Duration::from_millis(5);
 /// What a client sends while its message is open is kept up to so many bytes.
 const EARLY: usize = 4 * 1024;
 /// A connection that comes while the gateway closes has so long to send its message.
@@ -66,10 +70,46 @@
     most: usize,
     clients: Arc<Semaphore>,
     spare: Arc<Semaphore>,
-    make_room: Notify,
+    idle: Mutex<Waiting>,
+    ids: Mutex<HashSet<Bytes>>,
     back_off_ms: f64,
 }
 
+/// The connections that wait for a message: first those that never brought one, then the others, oldest first.
+#[derive(Default)]
+struct Waiting {
+    last: u64,
+    row: BTreeMap<(bool, u64), oneshot::Sender<()>>,
+}
+
+/// A connection's place among those that wait.
+struct Place<'a> {
+    intake: &'a Intake,
+    key: (bool, u64),
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        held(&self.intake.idle).row.remove(&self.key);
+    }
+}
+
+/// The id of an open message, which no other may bear until this one has its answer.
+struct OpenId<'a> {
+    intake: &'a Intake,
+    id: Bytes,
+}
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        held(&self.intake.ids).remove(&self.id);
+    }
+}
+
+fn held<T>(lock: &Mutex<T>) -> MutexGuard<'_, T> {
+    lock.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl Intake {
     /// A front for at most `clients` connections.
     pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, clients: usize) -> Arc<Self> {
@@ -83,7 +123,8 @@
             last: AtomicU64::new(0),
             clients: Arc::new(Semaphore::new(most)),
             spare: Arc::new(Semaphore::new(SPARE)),
-            make_room: Notify::new(),
+            idle: Mutex::default(),
+            ids: Mutex::default(),
         })
     }
 
@@ -112,21 +153,47 @@
                         warn!("cannot accept: {e}; trying again");
                         warned = Some(Instant::now());
                     }
-                    self.make_room.notify_one();
+                    self.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
 
+    /// Ends a connection that waits. Guards against silent connections that starve usual clients: whoever never
+    /// brought a message goes first, then who has been idle for longest.
+    fn make_room(&self) {
+        if let Some((_, close)) = held(&self.idle).row.pop_first() {
+            // It may have got its message a moment ago.
+            let _ = close.send(());
+        }
+    }
+
+    /// Takes a place among the connections that wait; what comes out of the receiver ends the connection.
+    fn wait(&self, served: bool) -> (Place<'_>, oneshot::Receiver<()>) {
+        let (close, closed) = oneshot::channel();
+        let mut waiting = held(&self.idle);
+        waiting.last += 1;
+        let key = (served, waiting.last);
+        waiting.row.insert(key, close);
+        (Place { intake: self, key }, closed)
+    }
+
+    /// Takes an id for a message; `None` while another open message bears it.
+    fn take_id(&self, id: Bytes) -> Option<OpenId<'_>> {
+        let free = held(&self.ids).insert(id.clone());
+        // Made only if it is free: dropping it would free the id of the other message.
+        free.then(|| OpenId { intake: self, id })
+    }
+
     /// Waits until another connection may be held; true if it is one past the most. Guards against clients
-    /// that wait unheard: the connection idle for longest makes room, and if there is none, a few more are
-    /// taken in and told to come back later.
+    /// that wait unheard: one that is idle makes room, and if there is none, a few more are taken in and told to
+    /// come back later.
     async fn admit(&self) -> (Option<OwnedSemaphorePermit>, bool) {
         if let Ok(permit) = self.clients.clone().try_acquire_owned() {
             return (Some(permit), false);
         }
-        self.make_room.notify_one();
+        self.make_room();
         tokio::task::yield_now().await;
         if let Ok(permit) = self.clients.clone().try_acquire_owned() {
             return (Some(permit), false);
@@ -156,8 +223,10 @@
         let mut reader = Reader::<Ask>::new(MAX_BODY);
         let mut phase = self.phase.clone();
         let accepted = Instant::now();
+        let mut served = false;
         loop {
             if reader.is_idle() {
+                let (_place, make_room) = self.wait(served);
                 let first = tokio::select! {
                     biased;
                     read = stream.read_buf(reader.buffer()) => read?,
@@ -166,14 +235,16 @@
                         let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
                         sleep_until(accepted + LATE_COMER).await;
                     } => 0,
-                    () = self.make_room.notified() => 0,
-                    () = sleep(if full { READ_TIME } else { IDLE_TIME }) => 0,
+                    _ = make_room => 0,
+                    () = sleep(IDLE_TIME) => 0,
                 };
                 if first == 0 {
                     return Ok(());
                 }
             }
-            let asked = timeout(READ_TIME, read(&mut stream, &mut reader)).await;
+            let until = if served { Instant::now() } else { accepted } + READ_TIME;
+            served = true;
+            let asked = timeout_at(until, read(&mut stream, &mut reader)).await;
             let (wording, keep_alive) = match asked {
                 Ok(Ok(Some(ask))) => {
                     let keep_alive = ask.keep_alive && !full;
@@ -221,6 +292,10 @@
         if full {
             return Ok(Some(Ok(Answer::BackOff { retry_after_ms: self.back_off_ms })));
         }
+        // Guards against an id that is in use: no answer could be told from the other's.
+        let Some(_open) = ask.fields.bytes(ID).and_then(|id| self.take_id(id)) else {
+            return Ok(Some(Err(Plain::Bad("X-Correlation-Id is that of an open message"))));
+        };
         let id = message.id;
         drop(ask);
         if self.queue.send(Input::Message(message)).await.is_err() {
@@ -253,8 +328,8 @@
         let left_ms = match fields.get(TIME_LEFT) {
             None => rules.deadline_ms,
             Some(_) => {
-                let told = fields.text(TIME_LEFT).and_then(|text| text.parse::<f64>().ok());
-                let told = told.filter(|ms| ms.is_finite() && *ms >= 0.0);
+                let told = fields.text(TIME_LEFT).filter(|text| text.bytes().all(|b| b.is_ascii_digit()));
+                let told = told.and_then(|text| text.parse::<f64>().ok());
                 // Nobody waits longer than the class allows for all tries together.
                 told.ok_or("X-Time-Left-Ms is no time")?.min(rules.deadline_ms)
             }
@@ -337,14 +412,16 @@
 async fn linger(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
     let until = Instant::now() + LINGER;
-    let mut read = 0;
-    let mut bytes = BytesMut::with_capacity(4096);
-    while read < LINGER_BYTES {
+    let mut bytes = BytesMut::new();
+    loop {
         bytes.clear();
+        bytes.reserve(LINGER_BYTES);
         match timeout_at(until, stream.read_buf(&mut bytes)).await {
-            Ok(Ok(more)) if more > 0 => read += more,
-            _ => break,
+            Ok(Ok(more)) if more > 0 => {}
+            _ => return Ok(()),
+        }
+        if bytes.len() >= LINGER_BYTES / 4 {
+            sleep(LINGER_PAUSE).await;
         }
     }
-    Ok(())
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,19 +5,21 @@
 use crate::decide::{Input, Queue};
 use crate::http1::{Fields, Reader, Status, Whole, MAX_BODY};
 use bytes::{Buf, Bytes};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use ternstack::{Outcome, Report, RequestId};
+use ternstack::{Outcome, Report, RequestId, ServerId};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
 /// A connection is closed after this part of the time in which the host would close it.
 const IDLE_PART: f64 = 0.9;
+/// An answer that has begun may pause for so long; one that stops in its middle is spoilt.
+const ANSWER_GAP: Duration = Duration::from_millis(250);
 /// A host's load report; it ends at the gateway.
 pub const LOAD: &str = "X-Backend-Load";
 /// Marks an answer of 503 or 504 to what has not been run.
@@ -41,7 +43,11 @@
     pub message: RequestId,
     /// The relay's number among the message's, in send order.
     pub number: u32,
-    /// Where it goes.
+    /// The host it goes to.
+    pub server: ServerId,
+    /// The host's present life: it ends with its address, its start or its service.
+    pub life: Weak<()>,
+    /// Where the host listens.
     pub host: SocketAddr,
     /// What is sent.
     pub envelope: Envelope,
@@ -79,7 +85,7 @@
 
 #[derive(Debug, Default)]
 struct Pool {
-    idle: HashMap<SocketAddr, Vec<Idle>>,
+    idle: BTreeMap<ServerId, Vec<Idle>>,
     open: usize,
     last: u64,
 }
@@ -108,7 +114,7 @@
     /// Sends a relay on its way: over an idle connection if there is one, else over a new one.
     pub fn start(&self, mut relay: Relay) {
         loop {
-            let idle = self.pool().idle.get_mut(&relay.host).and_then(Vec::pop);
+            let idle = self.pool().idle.get_mut(&relay.server).and_then(Vec::pop);
             let Some(idle) = idle else { break };
             // A connection that has just closed gives the relay back, with nothing sent.
             match idle.next.send(relay) {
@@ -126,8 +132,8 @@
         });
     }
 
-    /// Closes the idle connections to an address.
-    pub fn forget(&self, host: SocketAddr) {
+    /// Closes the idle connections to a host.
+    pub fn forget(&self, host: ServerId) {
         self.pool().idle.remove(&host);
     }
 
@@ -146,7 +152,7 @@
     }
 
     /// Offers an idle connection; what it is to carry next comes out of the receiver.
-    fn offer(&self, host: SocketAddr) -> (u64, oneshot::Receiver<Relay>) {
+    fn offer(&self, host: ServerId) -> (u64, oneshot::Receiver<Relay>) {
         let (next, relay) = oneshot::channel();
         let mut pool = self.pool();
         pool.last += 1;
@@ -155,7 +161,7 @@
         (number, relay)
     }
 
-    fn withdraw(&self, host: SocketAddr, number: u64) {
+    fn withdraw(&self, host: ServerId, number: u64) {
         let mut pool = self.pool();
         if let Some(row) = pool.idle.get_mut(&host) {
             row.retain(|idle| idle.number != number);
@@ -193,9 +199,11 @@
     loop {
         let mut reader = Reader::new(MAX_BODY);
         let (outcome, answer) = exchange(&mut stream, &mut reader, &mut relay).await;
-        let fit = answer.as_ref().is_some_and(|a| a.keep_alive) && reader.is_idle();
+        // Guards against a new host at an old address, or one that started anew: it gets new connections only.
+        let same = relay.life.strong_count() > 0;
+        let fit = same && answer.as_ref().is_some_and(|a| a.keep_alive) && reader.is_idle();
         // Offered before the end is told: what the module sends next may take this connection.
-        let offered = fit.then(|| south.offer(relay.host));
+        let offered = fit.then(|| south.offer(relay.server));
         south.end(&relay, outcome, answer).await;
         relay.envelope = Envelope::default(); // An idle connection holds no message's bytes.
         drop(reader);
@@ -207,8 +215,8 @@
                 Ok(relay) => relay,
                 Err(_) => return, // Closed to make room, or since the host left.
             },
-            () = unfit(&stream) => return south.withdraw(relay.host, number),
-            _ = sleep_until(up) => return south.withdraw(relay.host, number),
+            () = unfit(&stream) => return south.withdraw(relay.server, number),
+            _ = sleep_until(up) => return south.withdraw(relay.server, number),
         };
         // Guards against a host that closed a moment ago: nothing is sent yet, so this relay takes another
         // connection, and nothing is sent twice.
@@ -295,9 +303,13 @@
             Ok(None) => {}
             Err(_) => return (Outcome::ServerError, None),
         }
-        match stream.read_buf(reader.buffer()).await {
-            Ok(read) => ended = read == 0,
-            Err(_) => return (Outcome::ConnectionLost, None),
+        let begun = reader.has_begun();
+        let read = stream.read_buf(reader.buffer());
+        // Guards against a length that does not fit: what is missing never comes, and the host has answered.
+        match timeout(if begun { ANSWER_GAP } else { Duration::MAX }, read).await {
+            Ok(Ok(read)) => ended = read == 0,
+            Ok(Err(_)) => return (Outcome::ConnectionLost, None),
+            Err(_) => return (Outcome::ServerError, None),
         }
     }
 }
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -67,6 +67,8 @@
         (api("X-Correlation-Id: a\r\nX-Service-Class: lunch"), 400),
         (api("X-Correlation-Id: a\r\nX-Service-Class: book"), 400),
         (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nX-Time-Left-Ms: soon"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nX-Time-Left-Ms: -5"), 400),
+        (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nX-Time-Left-Ms: 1e2"), 400),
         (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nContent-Length: x"), 400),
         (api("X-Correlation-Id: a\r\nX-Service-Class: look\r\nContent-Length: 65537"), 413),
         (look("a").replace("GET", "DELETE"), 405),
@@ -165,6 +167,55 @@
     while !matches!(host.next().await, Seen::Ended) {}
 }
 
+#[tokio::test]
+async fn the_id_of_an_open_message_is_refused_and_free_again_after_it() {
+    let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let mut first = gateway.client().await;
+    first.send(&look("a")).await;
+    while !matches!(host.next().await, Seen::Message(_)) {}
+    let answer = gateway.client().await.ask(&look("a")).await;
+    assert_eq!((answer.start.0, answer.keep_alive), (400, false));
+    drop(first);
+    while !matches!(host.next().await, Seen::Ended) {}
+    let mut second = gateway.client().await;
+    second.send(&look("a")).await;
+    while !matches!(host.next().await, Seen::Message(_)) {}
+}
+
+#[tokio::test]
+async fn who_says_nothing_or_never_ends_is_heard_out_for_a_while_only() {
+    let (host, discovery) = (Host::start(SERVED).await, Discovery::start().await);
+    let gateway = Gateway::start(&config(vec![target(1, host.at, "SERVING")], discovery.at)).await;
+    let (mut silent, mut once, mut half) =
+        (gateway.client().await, gateway.client().await, gateway.client().await);
+    assert_eq!(once.ask(&look("once")).await.start.0, 200);
+    half.send("POST /api HTTP/1.1\r\nContent-Length: 9\r\n\r\ndesk").await;
+    assert!(silent.answer().await.is_none() && once.answer().await.is_none());
+    assert_eq!(half.answer().await.expect("an answer").start.0, 408);
+}
+
+#[tokio::test]
+async fn an_error_reaches_a_client_that_is_still_sending() {
+    let discovery = Discovery::start().await;
+    let gateway = Gateway::start(&config(vec![], discovery.at)).await;
+    let Client { stream } = gateway.client().await;
+    let (mut reads, mut writes) = stream.into_split();
+    let sending = tokio::spawn(async move {
+        let head = "POST /api HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
+        let _ = tokio::io::AsyncWriteExt::write_all(&mut writes, head.as_bytes()).await;
+        let part = vec![b'x'; 1 << 16];
+        let mut sent = 0;
+        while tokio::io::AsyncWriteExt::write_all(&mut writes, &part).await.is_ok() && sent < 900 {
+            sent += 1;
+        }
+    });
+    let mut start = [0; 12];
+    tokio::io::AsyncReadExt::read_exact(&mut reads, &mut start).await.expect("an answer");
+    assert_eq!(&start, b"HTTP/1.1 413");
+    sending.await.expect("it ends");
+}
+
 #[tokio::test]
 async fn past_max_open_comes_the_back_off_answer() {
     let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -141,6 +141,9 @@
         let end = read::<Ask>(head(fields).as_bytes(), &[]);
         assert_eq!(end, (Vec::new(), Err(malformed)), "{}", &fields[..fields.len().min(60)]);
     }
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(17) + "HTTP/1.1 204 No\r\n\r\n";
+    assert_eq!(read::<Status>(interim.as_bytes(), &[]), (Vec::new(), Err(Malformed::Head)));
+    assert_eq!(read::<Status>(&interim.as_bytes()[25..], &[]).0.len(), 1);
     let whole = format!("{}{}", head("Content-Length: 65536"), "x".repeat(MAX_BODY));
     assert_eq!(read::<Ask>(whole.as_bytes(), &[250; 300]).0[0].body.len(), MAX_BODY);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,6 +163,11 @@
         })
     }
 
+    /// Whether the balancer still remembers a server.
+    pub fn knows(&self, server: ServerId) -> bool {
+        self.fleet.servers.contains_key(&server)
+    }
+
     /// Takes one event and appends what is to be done.
     pub fn handle(&mut self, now: f64, event: Event, actions: &mut Vec<Action>) {
         match event {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -821,3 +821,16 @@
     fill(&mut bench).iter().for_each(|(_, to)| out[to.0 as usize] += 1);
     assert!(out[3] > 0 && out[3] <= out[0] + 2, "{out:?}");
 }
+
+#[test]
+fn a_server_that_is_gone_is_not_remembered() {
+    let mut bench = Bench::new(settings(), 2);
+    let left = Member { readiness: Readiness::Left, ..member(0) };
+    let (request, actions) = bench.request(2, None);
+    let busy = sent(&actions).expect("sent");
+    bench.list(ListKind::Changes, vec![left, Member { readiness: Readiness::Left, ..member(1) }]);
+    assert!(bench.balancer.knows(busy), "something of ours is still out there");
+    bench.end(request, 0, busy, Outcome::Served);
+    bench.list(ListKind::Changes, vec![member(2)]);
+    assert!(!bench.balancer.knows(ServerId(0)) && !bench.balancer.knows(ServerId(1)));
+}
