--- a/src/balance.rs
+++ b/src/balance.rs
@@ -34,6 +34,7 @@
 const EJECT_PART: f64 = 0.45; // A server is ejected that fails so much more than the mean: three in a row.
 const TRUST_AGAIN: f64 = 0.5; // The same of a served one, in the part of a class's answers that are errors.
 const ERROR_PART: f64 = 0.6; // A class is left out at a server that fails so much more of it than the best.
+const LEFT_OUT_LEAN: f64 = 4.0; // Its weight counts so many times for the classes that it serves.
 const TRIAL_AIMS: f64 = 4.0; // A server that fails a class is tried with one of it this often.
 const FAULT_AIMS: f64 = 5.0; // A part comes half as near to the mean in so many aims without outcomes.
 const FAULT_POWER: i32 = 4; // Weights fall with this power of the part that does not fail.
@@ -420,9 +421,13 @@
                 }
                 continue;
             }
+            // Guards against filling the rest with a class that a server takes which fails another one.
+            let left_out = s.errors.iter().any(|e| e.0 > ERROR_PART);
+            let free = if left_out { LEFT_OUT_LEAN } else { 1.0 };
             // Guards against a handshake for each request, where idle connections close soon.
             let warm = if now - s.heard_at < self.settings.idle_ms { 1.0 } else { NOT_WARM };
             let weight = warm
+                * free
                 * self.weight(now, s, mean)
                 * (1.0 - filled)
                 * s.squeeze
