Say with each refusal why the module refused

Need: the laboratory is to tell refusals by cause, and a refusal did not carry it. The log line left out messages whose attempts had failed, and counted some failures as refusals for lack of room. Change: Action::Refuse carries a cause; the log sums up the refusals by it. No decision changes.

--- a/benchlink/src/lib.rs
+++ b/benchlink/src/lib.rs
@@ -299,7 +299,7 @@
             writeln!(out, "RELAY id={} host={} try_until_ms={until:.3}", request(id), server(to))
         }
         Action::Cancel { request: id, attempt } => writeln!(out, "REVOKE id={} try={attempt}", request(id)),
-        Action::Refuse { request: id, retry_after_ms } => {
+        Action::Refuse { request: id, retry_after_ms, .. } => {
             writeln!(out, "OVERLOAD_REPLY id={} stay_away_ms={retry_after_ms:.3}", request(id))
         }
         Action::Fail { request: id } => writeln!(out, "DROP_REQUEST id={}", request(id)),
--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -202,7 +202,7 @@
                     let _ = call_off.send(());
                 }
             }
-            Action::Refuse { request, retry_after_ms } => {
+            Action::Refuse { request, retry_after_ms, .. } => {
                 self.answer(request, Answer::BackOff { retry_after_ms });
             }
             Action::Fail { request } => self.answer(request, Answer::Failed),
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -484,15 +484,14 @@
         // Guards against a tenant or class that stalls everywhere, and holds slots of others meanwhile.
         let stalls = (2.2 * self.excuse(tenant, class, 1) - 1.0).min(STALL_SHED);
         let refusal = match tenant.and_then(|t| self.over_limit(now, t, full)) {
-            Some(retry_after) => Some((0, retry_after)),
+            Some(retry_after) => Some((Cause::OverLimit, retry_after)),
             None if self.rng.rand_float() < crowded.max(1.0 - kept.unwrap_or(1.0)).max(stalls) => {
-                Some((1, most))
+                Some((Cause::NoRoom, most))
             }
-            None => (worthless && fill >= LATE_ROOM).then_some((2, most)),
+            None => (worthless && fill >= LATE_ROOM).then_some((Cause::TooLate, most)),
         };
-        if let Some((why, retry_after)) = refusal {
-            self.refused[why] += 1;
-            return self.refuse(id, retry_after, actions);
+        if let Some((cause, retry_after)) = refusal {
+            return self.refuse(id, cause, retry_after, actions);
         }
         let request = Request { class, tenant, end, attempts: Vec::new() };
         self.requests.insert(id, request);
@@ -521,16 +520,16 @@
     fn hold(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         if now + self.latency[request.class].max(2.0 * WAKE_MS) > request.end || !self.may_repeat(now, id) {
-            self.refused[1] += 1;
-            self.end(id, actions);
+            self.end(id, Cause::NoRoom, actions);
         } else {
             self.held.push(id);
         }
     }
 
-    fn refuse(&mut self, request: RequestId, retry_after: f64, actions: &mut Vec<Action>) {
+    fn refuse(&mut self, request: RequestId, cause: Cause, retry_after: f64, actions: &mut Vec<Action>) {
+        self.refused[cause as usize] += 1;
         let retry_after_ms = retry_after.clamp(0.0, self.settings.max_retry_after_ms);
-        actions.push(Action::Refuse { request, retry_after_ms });
+        actions.push(Action::Refuse { request, cause, retry_after_ms });
     }
 
     /// Sends the request's next attempt if a server has room for it.
@@ -599,7 +598,7 @@
                 self.hold(now, id, actions);
             }
         } else {
-            self.end(id, actions);
+            self.end(id, Cause::Failed, actions);
         }
     }
 
@@ -616,12 +615,12 @@
     }
 
     /// Ends a request unserved: refused where that promise is true, else failed.
-    fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, cause: Cause, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.remove(&id) else { return };
         let ran = request.ran().is_some();
         if self.settings.classes[request.class].may_refuse(ran) {
             // Its worth is gone: the client should not come back soon.
-            self.refuse(id, self.settings.max_retry_after_ms, actions);
+            self.refuse(id, cause, self.settings.max_retry_after_ms, actions);
         } else {
             actions.push(Action::Fail { request: id });
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -336,6 +336,19 @@
     },
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Its tenant is over its limit.
+    OverLimit,
+    /// No server has room that it could use in time.
+    NoRoom,
+    /// It comes too late to earn anything.
+    TooLate,
+    /// Its attempts have failed, and there is no other to be had.
+    Failed,
+}
+
 /// Something the gateway is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -359,6 +372,8 @@
     Refuse {
         /// The request.
         request: RequestId,
+        /// Why.
+        cause: Cause,
         /// Advice to the client; 0 for none.
         retry_after_ms: f64,
     },
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,7 +120,7 @@
     pub(crate) spill_at: f64,
     pub(crate) watch_pause: f64,
     pub(crate) watch_at: Option<f64>,
-    pub(crate) refused: [u32; 3], // Since the last line: over the limit, no room, too late to earn.
+    pub(crate) refused: [u32; 4], // Since the last line, by cause.
     pub(crate) logged_at: f64,
     pub(crate) usual: Vec<(f64, f64)>, // Each class's usual patience of a try, and the votes for it.
     pub(crate) even: f64,              // An even part: 1 / gateways.
@@ -152,7 +152,7 @@
             spill_at: 0.0,
             watch_pause: WATCH_MS,
             watch_at: None,
-            refused: [0; 3],
+            refused: [0; 4],
             logged_at: 0.0,
             even: 1.0 / f64::from(settings.instances),
             fraction: 1.0 / f64::from(settings.instances),
@@ -195,16 +195,16 @@
 
     /// One line every LOG_MS in which something was refused, with what a reader needs to tell why.
     fn log(&mut self, now: f64, actions: &mut Vec<Action>) {
-        let [limit, room, late] = self.refused;
-        if now - self.logged_at < LOG_MS || limit + room + late == 0 {
+        let [limit, room, late, failed] = self.refused;
+        if now - self.logged_at < LOG_MS || limit + room + late + failed == 0 {
             return;
         }
         let ejected = self.fleet.active().filter(|s| s.ejected.is_some()).count();
         let (fill, fraction, held, spill) = (self.fill(now), self.fraction, self.held.len(), self.spill);
         actions.push(Action::Log(format!(
-            "refused: {limit} over limit, {room} no room, {late} too late; fill {fill:.2}, \
+            "refused: {limit} over limit, {room} no room, {late} too late, {failed} failed; fill {fill:.2}, \
              fraction {fraction:.4}, spill {spill:.2}, held {held}, ejected {ejected}"
         )));
-        (self.refused, self.logged_at) = ([0; 3], now);
+        (self.refused, self.logged_at) = ([0; 4], now);
     }
 }
