--- a/src/interface.rs
+++ b/src/interface.rs
@@ -5,11 +5,11 @@
 use std::fmt;
 
 /// A request, as numbered by the gateway. An id is used once.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
 /// A server, as numbered by the gateway. It stays the same when the server's process restarts.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ServerId(pub u32);
 
 /// How far a request of a class may be repeated.
