--- /dev/null
+++ b/lab/benches/decision.rs
@@ -0,0 +1,109 @@
+//! What one decision costs the module as the fleet grows: a message's arrival and its end, with a report. One
+//! gateway uses all hosts. `cargo bench -p ternstack-lab` prints microseconds a message.
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use ternstack::{
+    Action, Arrival, AttemptEnd, Balancer, Class, Effect, Event, Group, ListKind, Member, Outcome, Reports,
+    RequestId, ServerId, Settings, Tenant,
+};
+
+fn settings() -> Settings {
+    Settings {
+        classes: vec![Class {
+            name: "read".into(),
+            aim_ms: 1200.0,
+            deadline_ms: 5000.0,
+            late_value: 0.2,
+            effect: Effect::Safe,
+            group: Group::All,
+            window_ms: 0.0,
+        }],
+        tenants: vec![Tenant { name: "one".into(), quota_per_s: 0.0 }],
+        instances: 1,
+        me: 0,
+        zone: 0,
+        tick_ms: 1.0,
+        live_weights: false,
+        cross_price: 0.0,
+        idle_ms: 30_000.0,
+        reports: Reports::Inline,
+        ask_discovery: false,
+        max_attempts: 3,
+        may_probe: false,
+        may_cancel: true,
+        max_retry_after_ms: 2000.0,
+        ask_within_ms: 10_000.0,
+        cold_share: 0.3,
+        cold_ms: 9000.0,
+        tip_multiple: 3.0,
+        removal_not_binding: false,
+        nines: 0.0,
+        top_nines: None,
+    }
+}
+
+/// A module that has heard from each of its hosts, and a clock.
+struct Warm {
+    balancer: Balancer,
+    now: f64,
+    next: u64,
+    actions: Vec<Action>,
+}
+
+impl Warm {
+    fn new(hosts: u32) -> Self {
+        let balancer = Balancer::new(settings(), 7).expect("sound settings");
+        let mut warm = Warm { balancer, now: 1000.0, next: 0, actions: Vec::new() };
+        let member =
+            |n| Member { server: ServerId(n), weight: 1.0, place: u64::from(n), ..Member::default() };
+        let members = (0..hosts).map(member).collect();
+        warm.hand(Event::List { kind: ListKind::WarmCopy, members });
+        (0..2 * hosts).for_each(|_| warm.message(hosts));
+        warm
+    }
+
+    fn hand(&mut self, event: Event) {
+        self.actions.clear();
+        self.balancer.handle(self.now, event, &mut self.actions);
+    }
+
+    /// A message's arrival and its end. Messages come at the same rate a host whatever the number of hosts.
+    fn message(&mut self, hosts: u32) {
+        self.now += 50.0 / f64::from(hosts);
+        self.next += 1;
+        let request = RequestId(self.next);
+        self.hand(Event::Request(Arrival { request, class: 0, tenant: Some(0), patience_ms: 2500.0 }));
+        let sent = self.actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        let Some(server) = sent else { return };
+        // Figures that change from report to report, as real ones do.
+        let report = ternstack::Report {
+            utilization: Some(0.4 + 0.001 * (self.next % 97) as f64),
+            throughput: Some(18.0 + 0.01 * (self.next % 89) as f64),
+            backlog: None,
+        };
+        self.hand(Event::AttemptEnd(AttemptEnd {
+            request,
+            attempt: 0,
+            server,
+            outcome: Outcome::Served,
+            latency_ms: 150.0,
+            complete: true,
+            report,
+        }));
+    }
+}
+
+fn decision(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decision");
+    group.throughput(Throughput::Elements(1)).sample_size(10);
+    for hosts in [10, 100, 1000, 5000] {
+        let mut warm = Warm::new(hosts);
+        group.bench_function(BenchmarkId::from_parameter(hosts), |b| b.iter(|| warm.message(hosts)));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/lab/src/drive.rs
+++ b/lab/src/drive.rs
@@ -76,6 +76,10 @@
     pub trace: Vec<String>,
     /// Events played, and of these handed to policies.
     pub events: (u64, u64),
+    /// Most messages, tries and attempts in flight at once.
+    pub most: [usize; 3],
+    /// What of these was left at the end.
+    pub left: [usize; 3],
 }
 
 enum Event {
@@ -207,6 +211,7 @@
     queue: BinaryHeap<Reverse<Planned>>,
     planned: u64,
     played: (u64, u64),
+    most: [usize; 3],
     hosts: Vec<Host>,
     due: Vec<Us>,    // When each host is next due, as planned.
     gone: Vec<bool>, // Hosts that were replaced.
@@ -332,8 +337,9 @@
         run.played.0 += 1;
         run.step(next.event)?;
     }
-    let Run { judge, trace, played, .. } = run;
-    Ok(Played { findings: judge.findings(setup.troubles), trace, events: played })
+    let left = run.in_flight();
+    let Run { judge, trace, played, most, .. } = run;
+    Ok(Played { findings: judge.findings(setup.troubles), trace, events: played, most, left })
 }
 
 impl<'a> Run<'a> {
@@ -362,6 +368,7 @@
             queue: BinaryHeap::new(),
             planned: 0,
             played: (0, 0),
+            most: [0; 3],
             due: vec![Us::MAX; hosts.len()],
             gone: vec![false; hosts.len()],
             draining: vec![false; hosts.len()],
@@ -1229,7 +1236,15 @@
         Ok(())
     }
 
+    fn in_flight(&self) -> [usize; 3] {
+        [self.messages.len(), self.tries.len(), self.attempts.len()]
+    }
+
     fn sample(&mut self) {
+        let in_flight = self.in_flight();
+        for (most, now) in self.most.iter_mut().zip(in_flight) {
+            *most = now.max(*most);
+        }
         let (mut queue, mut slow, mut up, mut busy, mut cores) = (0, 0, 0, 0.0, 0.0);
         for (n, host) in self.hosts.iter_mut().enumerate() {
             let used = host.busy(self.now);
