--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,9 @@
 # The usual steps; .ci/run is what every change must pass.
 CONFIG ?= config.json
+EXPERIMENT ?= lab/experiments/jam.toml
+OUT ?= found
 
-.PHONY: build test lint run
+.PHONY: build test lint run lab bench
 
 build:
 	cargo build --release --workspace --locked
@@ -15,3 +17,9 @@
 
 run: build
 	LB_CONFIG=$(CONFIG) target/release/ternstack-gateway
+
+lab:
+	cargo run --release --locked -p ternstack-lab -- run $(EXPERIMENT) --out $(OUT)
+
+bench:
+	cargo bench --locked -p ternstack-lab
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -215,7 +215,7 @@
             .x_label_area_size(24)
             .y_label_area_size(48)
             .build_cartesian_2d(0.0..results.length_s, 0.0..top)?;
-        chart.configure_mesh().light_line_style(WHITE).x_desc("s").draw()?;
+        chart.configure_mesh().light_line_style(WHITE).draw()?;
         for mark in &results.troubles {
             let area = [(mark.at_s, 0.0), (mark.end_s, top)];
             chart.draw_series([Rectangle::new(area, RED.mix(0.08).filled())])?;
@@ -230,19 +230,20 @@
                 .label(curve.name.clone())
                 .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 14, y)], colour.stroke_width(2)));
         }
-        if curves.len() > 1 {
-            chart
-                .configure_series_labels()
-                .position(SeriesLabelPosition::LowerRight)
-                .background_style(WHITE.mix(0.8))
-                .label_font(("sans-serif", 11))
-                .draw()?;
-        }
         root.present()?;
     }
     Ok(svg)
 }
 
+/// Which colour is which curve: one line for all plots that show the same ones.
+fn legend(names: impl Iterator<Item = String>) -> String {
+    let entry = |(n, name): (usize, String)| {
+        let RGBAColor(red, green, blue, _) = Palette99::pick(n).to_rgba();
+        format!("<span style=\"color:rgb({red},{green},{blue})\">&#9632;</span> {} ", escape(&name))
+    };
+    format!("<p>{}</p>\n", names.enumerate().map(entry).collect::<String>())
+}
+
 fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
 }
@@ -334,13 +335,16 @@
         Row::of(v).cells().iter().for_each(|cell| page.push_str(&format!("<td>{}", escape(cell))));
         page.push_str("</tr>\n");
     }
-    page.push_str("</table>\n<h2>Over time, mean of the seeds</h2>\n");
+    page.push_str("</table>\n<h2>Over time in seconds, mean of the seeds</h2>\n");
+    page.push_str(&legend(results.variants.iter().take(PLOTTED).map(|v| v.name.clone())));
     for (title, curves) in plots(results) {
         page.push_str(&plot(results, title, &curves).map_err(|e| e.to_string())?);
     }
     let first = results.variants.first().map_or("", |v| &v.name);
     let title = format!("refusals a second by cause: {first}");
-    page.push_str(&plot(results, &title, &causes(results)).map_err(|e| e.to_string())?);
+    let causes = causes(results);
+    page.push_str(&plot(results, &title, &causes).map_err(|e| e.to_string())?);
+    page.push_str(&legend(causes.iter().map(|c| c.name.clone())));
     page.push_str("<h2>Latency of served messages from their first try on, in ms, the median seed</h2>\n");
     page.push_str(&latencies(results));
     page.push_str("<h2>Rules broken</h2>\n<ul>\n");
--- a/lab/src/world/hosts.rs
+++ b/lab/src/world/hosts.rs
@@ -224,10 +224,10 @@
         let by_time = now.saturating_sub(started) as f64 / self.warm.max(1) as f64;
         let by_work = match self.warm_by {
             WarmBy::Time => 0.0,
-            // As much as it does at half its capacity in that time.
+            // As much as it does at a quarter of its capacity in that time: a busy host warms sooner.
             WarmBy::Work => {
                 let done = self.cpu.done(now) - self.done_at_start;
-                done / (0.5 * self.capacity() * self.warm.max(1) as f64)
+                done / (0.25 * self.capacity() * self.warm.max(1) as f64)
             }
         };
         self.cold_share + (1.0 - self.cold_share) * by_time.max(by_work).min(1.0)
