Let attempts run to the end, and share one budget of descriptors by a module of its own

An attempt given up early goes on at its host, and its repeat adds to it. Cancelling what waits, or no quotas, changes nothing or worsens it. Besides, the front ended the newest connection, whose first message was on its way, before any idle one. Change: an attempt runs until its message's end. places decides without I/O who holds a descriptor and who gives way (silent for 250 ms, half-read for 500 ms, a crowd's own oldest, then idle), clients and hosts share one budget with a floor each; doors tells them. Tests with floods of silent, slow and keeping clients.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -4,12 +4,14 @@
 //! this one and hand the same kind of [`Message`] to the same queue.
 use crate::answer::{Answer, Plain, Wording};
 use crate::decide::{Input, Message, Queue};
+use crate::doors::{Doors, Place};
 use crate::http1::{Ask, Reader, Whole, MAX_BODY};
+use crate::places::Doing;
 use crate::relay::Envelope;
 use bytes::{Buf, Bytes, BytesMut};
-use std::collections::{BTreeMap, HashSet};
+use std::collections::HashSet;
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use ternstack::{Effect, RequestId};
@@ -41,8 +43,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// A lack of descriptors is told of at most this often.
 const WARN_PAUSE: Duration = Duration::from_secs(5);
-/// So many clients past the most are taken in for a back-off answer.
-const SPARE: usize = 24;
+/// So many clients past the budget are taken in for a back-off answer.
+pub const SPARE: usize = 24;
 
 const ID: &str = "X-Correlation-Id";
 const CLASS: &str = "X-Service-Class";
@@ -67,33 +69,37 @@
     queue: Queue,
     phase: watch::Receiver<Phase>,
     last: AtomicU64,
-    most: usize,
-    clients: Arc<Semaphore>,
+    doors: Arc<Doors>,
     spare: Arc<Semaphore>,
-    idle: Mutex<Waiting>,
+    live: AtomicUsize,
     ids: Mutex<HashSet<Bytes>>,
     back_off_ms: f64,
 }
 
-/// The connections that wait for a message: first those that never brought one, then the others, oldest first.
-#[derive(Default)]
-struct Waiting {
-    last: u64,
-    row: BTreeMap<(bool, u64), oneshot::Sender<()>>,
-}
+/// A connection that is being served.
+struct Live<'a>(&'a AtomicUsize);
 
-/// A connection's place among those that wait.
-struct Place<'a> {
-    intake: &'a Intake,
-    key: (bool, u64),
+impl<'a> Live<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Live(count)
+    }
 }
 
-impl Drop for Place<'_> {
+impl Drop for Live<'_> {
     fn drop(&mut self) {
-        held(&self.intake.idle).row.remove(&self.key);
+        self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
+/// What lets a connection in.
+enum Entry {
+    /// A place, and what tells that it is given away.
+    Place(Place, oneshot::Receiver<()>),
+    /// None: it gets a back-off answer only.
+    Spare(OwnedSemaphorePermit),
+}
+
 /// The id of an open message, which no other may bear until this one has its answer.
 struct OpenId<'a> {
     intake: &'a Intake,
@@ -111,19 +117,17 @@
 }
 
 impl Intake {
-    /// A front for at most `clients` connections.
-    pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, clients: usize) -> Arc<Self> {
-        let most = clients.saturating_sub(SPARE).max(1);
+    /// A front whose clients share the budget of `doors` with the hosts.
+    pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, doors: Arc<Doors>) -> Arc<Self> {
         Arc::new(Intake {
-            most,
             back_off_ms: site.balancer.max_retry_after_ms,
             site,
             queue,
             phase,
             last: AtomicU64::new(0),
-            clients: Arc::new(Semaphore::new(most)),
+            doors,
             spare: Arc::new(Semaphore::new(SPARE)),
-            idle: Mutex::default(),
+            live: AtomicUsize::new(0),
             ids: Mutex::default(),
         })
     }
@@ -132,20 +136,26 @@
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut warned: Option<Instant> = None;
         loop {
-            let (mut permit, mut full) = self.admit().await;
+            // Guards against clients that wait unheard: where there is no place and nobody gives way, a few more
+            // are taken in and told to come back later. Beyond these the listener's own queue has to do.
+            let Ok(spare) = self.spare.clone().acquire_owned().await else { return };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    // Others may have left meanwhile.
-                    if let (true, Ok(free)) = (full, self.clients.clone().try_acquire_owned()) {
-                        (permit, full) = (Some(free), false);
-                    }
+                    let (entry, made_room) = match self.doors.enter() {
+                        Some((place, ended, made_room)) => (Entry::Place(place, ended), made_room),
+                        None => (Entry::Spare(spare), false),
+                    };
                     let intake = self.clone();
                     tokio::spawn(async move {
-                        if let Err(e) = intake.serve(stream, full).await {
+                        let _live = Live::new(&intake.live);
+                        if let Err(e) = intake.serve(stream, entry).await {
                             debug!("client: {e}");
                         }
-                        drop(permit);
                     });
+                    if made_room {
+                        // Guards against holding more than there may be: who gives way ends before the next comes.
+                        tokio::task::yield_now().await;
+                    }
                 }
                 // Guards against a busy loop while descriptors are short (EMFILE): others go on, and end.
                 Err(e) => {
@@ -153,32 +163,13 @@
                         warn!("cannot accept: {e}; trying again");
                         warned = Some(Instant::now());
                     }
-                    self.make_room();
+                    self.doors.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
 
-    /// Ends a connection that waits. Guards against silent connections that starve usual clients: whoever never
-    /// brought a message goes first, then who has been idle for longest.
-    fn make_room(&self) {
-        if let Some((_, close)) = held(&self.idle).row.pop_first() {
-            // It may have got its message a moment ago.
-            let _ = close.send(());
-        }
-    }
-
-    /// Takes a place among the connections that wait; what comes out of the receiver ends the connection.
-    fn wait(&self, served: bool) -> (Place<'_>, oneshot::Receiver<()>) {
-        let (close, closed) = oneshot::channel();
-        let mut waiting = held(&self.idle);
-        waiting.last += 1;
-        let key = (served, waiting.last);
-        waiting.row.insert(key, close);
-        (Place { intake: self, key }, closed)
-    }
-
     /// Takes an id for a message; `None` while another open message bears it.
     fn take_id(&self, id: Bytes) -> Option<OpenId<'_>> {
         let free = held(&self.ids).insert(id.clone());
@@ -186,29 +177,9 @@
         free.then(|| OpenId { intake: self, id })
     }
 
-    /// Waits until another connection may be held; true if it is one past the most. Guards against clients
-    /// that wait unheard: one that is idle makes room, and if there is none, a few more are taken in and told to
-    /// come back later.
-    async fn admit(&self) -> (Option<OwnedSemaphorePermit>, bool) {
-        if let Ok(permit) = self.clients.clone().try_acquire_owned() {
-            return (Some(permit), false);
-        }
-        self.make_room();
-        tokio::task::yield_now().await;
-        if let Ok(permit) = self.clients.clone().try_acquire_owned() {
-            return (Some(permit), false);
-        }
-        tokio::select! {
-            biased;
-            permit = self.clients.clone().acquire_owned() => (permit.ok(), false),
-            permit = self.spare.clone().acquire_owned() => (permit.ok(), true),
-        }
-    }
-
     /// Waits until no client's connection is left.
     pub async fn empty(&self) {
-        // The accepting task holds one permit for the client it waits for.
-        while self.clients.available_permits() + self.spare.available_permits() + 1 < self.most + SPARE {
+        while self.live.load(Ordering::Relaxed) > 0 {
             sleep(ACCEPT_PAUSE).await;
         }
     }
@@ -217,16 +188,21 @@
         *self.phase.borrow()
     }
 
-    /// Serves a client until one side ends the connection; `full` if it is to get a back-off answer only.
-    async fn serve(&self, mut stream: TcpStream, full: bool) -> io::Result<()> {
+    /// Serves a client until one side ends the connection.
+    async fn serve(&self, mut stream: TcpStream, entry: Entry) -> io::Result<()> {
         stream.set_nodelay(true)?;
+        let (place, mut given_away) = match entry {
+            Entry::Place(place, given_away) => (Ok(place), Some(given_away)),
+            Entry::Spare(spare) => (Err(spare), None),
+        };
+        let full = place.is_err();
+        let does = |doing| place.iter().for_each(|place| place.does(doing));
         let mut reader = Reader::<Ask>::new(MAX_BODY);
         let mut phase = self.phase.clone();
         let accepted = Instant::now();
         let mut served = false;
         loop {
             if reader.is_idle() {
-                let (_place, make_room) = self.wait(served);
                 let first = tokio::select! {
                     biased;
                     read = stream.read_buf(reader.buffer()) => read?,
@@ -235,25 +211,33 @@
                         let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
                         sleep_until(accepted + LATE_COMER).await;
                     } => 0,
-                    _ = make_room => 0,
+                    () = gone(&mut given_away) => 0,
                     () = sleep(IDLE_TIME) => 0,
                 };
                 if first == 0 {
                     return Ok(());
                 }
             }
+            does(Doing::Reading);
             let until = if served { Instant::now() } else { accepted } + READ_TIME;
             served = true;
-            let asked = timeout_at(until, read(&mut stream, &mut reader)).await;
+            let asked = tokio::select! {
+                biased;
+                asked = timeout_at(until, read(&mut stream, &mut reader)) => asked,
+                // Too slow for times in which places are short.
+                () = gone(&mut given_away) => return Ok(()),
+            };
             let (wording, keep_alive) = match asked {
                 Ok(Ok(Some(ask))) => {
+                    does(Doing::Open);
                     let keep_alive = ask.keep_alive && !full;
                     let Some(answered) = self.answered(ask, &mut stream, &mut reader, full).await? else {
                         return Ok(());
                     };
                     // A bad message ends the connection; and the phase may have changed meanwhile.
                     let bad = matches!(answered, Err(Plain::Bad(_) | Plain::Method));
-                    let keep_alive = keep_alive && !bad && self.phase() == Phase::Serving;
+                    let lost = place.as_ref().is_ok_and(Place::is_lost);
+                    let keep_alive = keep_alive && !bad && !lost && self.phase() == Phase::Serving;
                     let wording = match answered {
                         Ok(answer) => answer.word(keep_alive),
                         Err(plain) => plain.word(keep_alive),
@@ -269,6 +253,7 @@
             if !keep_alive {
                 return linger(&mut stream).await;
             }
+            does(Doing::Idle);
         }
     }
 
@@ -366,6 +351,15 @@
     Envelope { before: before.freeze(), after: after.freeze(), body: ask.body.clone() }
 }
 
+/// Waits until a place is given away; for ever without one.
+async fn gone(given_away: &mut Option<oneshot::Receiver<()>>) {
+    match given_away {
+        // An error comes only once the place is gone too.
+        Some(given_away) => drop(given_away.await),
+        None => std::future::pending().await,
+    }
+}
+
 enum ReadError {
     Io(io::Error),
     Malformed(crate::http1::Malformed),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! [`intake`] takes messages from clients, [`decide`] is the one task that owns the
 //! [`Balancer`](ternstack::Balancer), [`relay`] carries messages to south side hosts, [`answer`] words what
 //! the client gets, and [`inventory`] follows discovery's list. [`http1`] parses and frames bytes, [`clock`]
-//! tells the time, [`config`] reads what the gateway is told at its start.
+//! tells the time, [`config`] reads what the gateway is told at its start. [`places`] decides who holds a
+//! descriptor and who gives way, [`doors`] tells them.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -11,14 +12,17 @@
 pub mod clock;
 pub mod config;
 pub mod decide;
+pub mod doors;
 pub mod http1;
 pub mod intake;
 pub mod inventory;
+pub mod places;
 pub mod relay;
 
 use config::Config;
 use decide::{Decider, QUEUE};
-use intake::{Intake, Phase};
+use doors::Doors;
+use intake::{Intake, Phase, SPARE};
 use relay::SouthSide;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -51,11 +55,11 @@
 
     let dial_timeout = Duration::from_secs_f64(site.dial_timeout_ms / 1000.0);
     let longest = site.balancer.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let sockets = sockets.saturating_sub(OWN_SOCKETS);
-    let south = SouthSide::new(queue.clone(), sockets / 2, site.balancer.idle_ms, dial_timeout);
+    let doors = Doors::new(sockets.saturating_sub(OWN_SOCKETS + SPARE));
+    let south = SouthSide::new(queue.clone(), doors.clone(), site.balancer.idle_ms, dial_timeout);
     let (rev, hosts) = (known.rev, known.targets.len());
     let decider = Decider::new(site.clone(), seed, known, south, watch_wanted)?;
-    let intake = Intake::new(site, queue.clone(), phase_now, sockets - sockets / 2);
+    let intake = Intake::new(site, queue.clone(), phase_now, doors);
 
     let mut deciding = tokio::spawn(decider.run(inputs));
     let following = tokio::spawn(inventory::follow(discovery, dial_timeout, rev, watch_asked, queue));
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -3,6 +3,7 @@
 //! A connection is a task that carries one relay at a time. While it is idle it waits for the next one, for the
 //! host to close, or for its time to be up; the most recently used idle connection is taken first.
 use crate::decide::{Input, Queue};
+use crate::doors::Doors;
 use crate::http1::{Fields, Reader, Status, Whole, MAX_BODY};
 use bytes::{Buf, Bytes};
 use std::collections::BTreeMap;
@@ -86,7 +87,6 @@
 #[derive(Debug, Default)]
 struct Pool {
     idle: BTreeMap<ServerId, Vec<Idle>>,
-    open: usize,
     last: u64,
 }
 
@@ -95,16 +95,16 @@
 pub struct SouthSide {
     pool: Arc<Mutex<Pool>>,
     queue: Queue,
-    most: usize,
+    doors: Arc<Doors>,
     idle_for: Duration,
     dial_timeout: Duration,
 }
 
 impl SouthSide {
-    /// At most `most` connections, each closed when it has been idle for a little less than `idle_ms`.
-    pub fn new(queue: Queue, most: usize, idle_ms: f64, dial_timeout: Duration) -> Self {
+    /// Connections within the budget of `doors`, each closed when it has been idle for a little less than `idle_ms`.
+    pub fn new(queue: Queue, doors: Arc<Doors>, idle_ms: f64, dial_timeout: Duration) -> Self {
         let idle_for = Duration::from_secs_f64((idle_ms * IDLE_PART / 1000.0).min(86_400.0));
-        SouthSide { pool: Arc::default(), queue, most, idle_for, dial_timeout }
+        SouthSide { pool: Arc::default(), queue, doors, idle_for, dial_timeout }
     }
 
     fn pool(&self) -> MutexGuard<'_, Pool> {
@@ -137,20 +137,26 @@
         self.pool().idle.remove(&host);
     }
 
-    /// Counts a new connection. Guards against running out of sockets: past the most, the connection that has
-    /// been idle for longest makes room; if none is idle, nothing can be sent.
+    /// Counts a new connection. Guards against running out of sockets: past the budget, the connection that has
+    /// been idle for longest makes room; if none is idle, a client's does that waits; else nothing can be sent.
     fn slot(&self) -> Option<Slot> {
-        let mut pool = self.pool();
-        if pool.open >= self.most {
-            let oldest =
-                pool.idle.iter().filter_map(|(host, row)| Some((row.first()?.number, *host))).min()?;
-            let row = pool.idle.get_mut(&oldest.1)?;
-            drop(row.remove(0));
+        if !self.doors.has_room() && self.end_oldest() {
+            self.doors.replace_host();
+        } else if !self.doors.open_host() {
+            return None;
         }
-        pool.open += 1;
         Some(Slot(self.clone()))
     }
 
+    /// Ends the connection that has been idle for longest, if any is.
+    fn end_oldest(&self) -> bool {
+        let mut pool = self.pool();
+        let oldest = pool.idle.iter().filter_map(|(host, row)| Some((row.first()?.number, *host))).min();
+        let Some(row) = oldest.and_then(|oldest| pool.idle.get_mut(&oldest.1)) else { return false };
+        drop(row.remove(0));
+        true
+    }
+
     /// Offers an idle connection; what it is to carry next comes out of the receiver.
     fn offer(&self, host: ServerId) -> (u64, oneshot::Receiver<Relay>) {
         let (next, relay) = oneshot::channel();
@@ -186,7 +192,7 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.pool().open -= 1;
+        self.0.doors.close_host();
     }
 }
 
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -233,10 +233,10 @@
 async fn clients_past_the_sockets_are_told_to_come_back() {
     let (mut host, discovery) = (Host::start(Does::Nothing).await, Discovery::start().await);
     let mut told = config(vec![target(1, host.at, "SERVING")], discovery.at);
-    told["limits"]["sockets"] = json!(80); // 28 for clients, of which 24 only get a back-off answer
+    told["limits"]["sockets"] = json!(64); // 16 for clients and hosts: seven open messages, and room kept for hosts
     let gateway = Gateway::start(&told).await;
     let mut clients = Vec::new();
-    for n in 0..4 {
+    for n in 0..7 {
         clients.push(gateway.client().await);
         clients[n].send(&look(&format!("id-{n}"))).await;
         while !matches!(host.next().await, Seen::Message(_)) {}
@@ -246,7 +246,7 @@
     assert_eq!(host.so_far().0, Vec::<String>::new());
     // Room again: connections that stand idle end for it.
     drop(clients);
-    for n in 0..4 {
+    for n in 0..7 {
         while !matches!(host.next().await, Seen::Ended) {}
         let mut idle = gateway.client().await;
         assert_eq!(idle.ask("GET /ready HTTP/1.1\r\n\r\n").await.start.0, 200, "{n}");
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -10,6 +10,7 @@
 use ternstack_gateway::clock::Clock;
 use ternstack_gateway::config::Config;
 use ternstack_gateway::decide::Input;
+use ternstack_gateway::doors::Doors;
 use ternstack_gateway::relay::{Envelope, Relay, RelayEnd, SouthSide};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -28,7 +29,7 @@
     fn new(most: usize, idle_ms: f64) -> Self {
         let (queue, inputs) = mpsc::channel(16);
         South {
-            side: SouthSide::new(queue, most, idle_ms, Duration::from_secs(20)),
+            side: SouthSide::new(queue, Doors::new(most), idle_ms, Duration::from_secs(20)),
             inputs,
             number: 0,
             life: std::sync::Arc::new(()),
--- /dev/null
+++ b/gateway/tests/places.rs
@@ -0,0 +1,161 @@
+//! Who gives way when places are short: floods of silent, slow and idle connections beside usual clients.
+use std::collections::{BTreeMap, HashMap};
+use ternstack_gateway::places::{Admission, ClientId, Doing, Places};
+
+/// What a connection in the play is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Who {
+    Usual,
+    Silent,
+    Slow,
+}
+
+/// Plays connections against places, in whole milliseconds, and counts what became of whom.
+struct Play {
+    places: Places,
+    now: u64,
+    who: HashMap<ClientId, Who>,
+    next: BTreeMap<(u64, u64), (ClientId, Doing)>, // Due: what a connection does next.
+    planned: u64,
+    pushed_out: BTreeMap<(Who, bool), u32>, // Who gave way; true if that was before or in the middle of a message.
+    turned_away: BTreeMap<Who, u32>,
+    served: u32,
+    doing: HashMap<ClientId, Doing>,
+}
+
+impl Play {
+    fn new(budget: usize) -> Self {
+        Play {
+            places: Places::new(budget),
+            now: 0,
+            who: HashMap::new(),
+            next: BTreeMap::new(),
+            planned: 0,
+            pushed_out: BTreeMap::new(),
+            turned_away: BTreeMap::new(),
+            served: 0,
+            doing: HashMap::new(),
+        }
+    }
+
+    fn plan(&mut self, after: u64, id: ClientId, doing: Doing) {
+        self.planned += 1;
+        self.next.insert((self.now + after, self.planned), (id, doing));
+    }
+
+    fn connect(&mut self, who: Who) {
+        let id = match self.places.admit(self.now as f64) {
+            Admission::Taken(id) => id,
+            Admission::InPlaceOf(id, other) => {
+                let unserved = self.doing[&other] != Doing::Idle;
+                assert_ne!(self.doing[&other], Doing::Open, "an open message gives way to nobody");
+                *self.pushed_out.entry((self.who[&other], unserved)).or_default() += 1;
+                self.doing.remove(&other);
+                id
+            }
+            Admission::Full => {
+                *self.turned_away.entry(who).or_default() += 1;
+                return;
+            }
+        };
+        self.who.insert(id, who);
+        self.doing.insert(id, Doing::New);
+        match who {
+            Who::Usual => self.plan(2, id, Doing::Open),
+            Who::Slow => self.plan(1, id, Doing::Reading),
+            Who::Silent => {}
+        }
+    }
+
+    /// Lets a millisecond pass.
+    fn pass(&mut self) {
+        self.now += 1;
+        while let Some(entry) = self.next.first_entry().filter(|e| e.key().0 <= self.now) {
+            let (id, doing) = entry.remove();
+            if !self.doing.contains_key(&id) {
+                continue; // It has given way.
+            }
+            self.doing.insert(id, doing);
+            self.places.does(id, doing, self.now as f64);
+            if doing == Doing::Open {
+                self.served += 1;
+                self.plan(30, id, Doing::Idle);
+            }
+        }
+        assert!(self.places.clients() <= self.places.clients_most().max(1));
+        let counted: usize =
+            [Doing::New, Doing::Reading, Doing::Open, Doing::Idle].map(|d| self.places.count(d)).iter().sum();
+        assert_eq!(counted, self.doing.len());
+    }
+}
+
+/// A hundred messages a second on new connections, each kept when it is done, beside so many others a second.
+fn beside(others: Who, per_s: u64) -> Play {
+    let mut play = Play::new(200);
+    for ms in 0..5000 {
+        if ms % 10 == 0 {
+            play.connect(Who::Usual);
+        }
+        for _ in 0..(per_s * (ms + 1) / 1000 - per_s * ms / 1000) {
+            play.connect(others);
+        }
+        play.pass();
+    }
+    play
+}
+
+#[test]
+fn clients_that_keep_their_connections_push_out_no_connection_whose_message_is_on_its_way() {
+    // The row of idle ones is full all the time. Were who has brought nothing yet to go first, each new connection
+    // would push out the one before it, whose message is on its way, and nobody else: incident rfd526e.
+    let play = beside(Who::Usual, 400);
+    assert_eq!(play.pushed_out.get(&(Who::Usual, true)), None);
+    assert_eq!(play.turned_away.get(&Who::Usual), None);
+    assert!(play.served >= 2490, "{}", play.served);
+    assert!(play.pushed_out[&(Who::Usual, false)] > 2000);
+}
+
+#[test]
+fn floods_push_out_themselves() {
+    for flood in [Who::Silent, Who::Slow] {
+        for per_s in [100, 1000, 5000] {
+            let play = beside(flood, per_s);
+            assert_eq!(play.pushed_out.get(&(Who::Usual, true)), None, "{flood:?} at {per_s}");
+            if flood == Who::Silent {
+                assert_eq!(play.turned_away.get(&Who::Usual), None, "{per_s}");
+                assert!(play.served >= 499, "{per_s}: {}", play.served);
+            }
+        }
+    }
+    // Slow ones that fill all places hold them for half a second at most.
+    let play = beside(Who::Slow, 100);
+    assert!(play.served >= 499, "{}", play.served);
+}
+
+#[test]
+fn each_side_has_its_floor_and_may_use_what_the_other_leaves() {
+    let mut places = Places::new(100);
+    assert_eq!(places.clients_most(), 75);
+    let clients: Vec<ClientId> = (0..75)
+        .map(|_| match places.admit(0.0) {
+            Admission::Taken(id) => id,
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    clients.iter().for_each(|id| places.does(*id, Doing::Open, 1.0));
+    assert_eq!(places.admit(1000.0), Admission::Full, "open messages give way to nobody");
+    assert_eq!((0..100).filter(|_| places.open_host()).count(), 25);
+    assert_eq!(places.make_room(1000.0), None);
+    // Hosts use what clients leave, and keep some room for their next connections.
+    clients[..50].iter().for_each(|id| assert!(places.leave(*id)));
+    assert_eq!((0..100).filter(|_| places.open_host()).count(), 50);
+    assert_eq!(places.clients_most(), 25);
+    places.does(clients[60], Doing::Idle, 2.0);
+    assert_eq!(places.make_room(1000.0), Some(clients[60]));
+    assert!(places.open_host() && !places.open_host());
+    (0..76).for_each(|_| places.close_host());
+    assert_eq!(places.clients_most(), 75);
+    assert!(!places.leave(clients[60]), "it has given way before");
+    places.does(clients[60], Doing::Open, 3.0);
+    assert_eq!(places.clients(), 24);
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -537,11 +537,8 @@
         let Some(mut request) = self.requests.remove(&id) else { return true };
         let picked = self.pick(now, &request);
         if let Some(server) = picked {
-            let safe = self.settings.classes[request.class].effect == Effect::Safe;
-            let more = request.attempts.len() as u32 + 1 < self.settings.max_attempts;
-            // A repeatable request gives up on an attempt while there is time for another.
-            let patience = (SILENT_AFTER * self.latency[request.class]).max((request.end - now) * 0.7);
-            let until = if safe && more { request.end.min(now + patience) } else { request.end };
+            // Guards against a jam: what is given up goes on at its server, and its repeat adds to that.
+            let until = request.end;
             let pace = self.fleet.servers.get(&server).map_or(0.0, |s| self.pace(now, s));
             if let Some(s) = self.fleet.servers.get_mut(&server) {
                 let home = (s.listed.zone, s.listed.cell);
