End the longest idle client connections once they hold an eighth of the budget

Usual clients got no connection. Change: places names the longest idle connection beyond an eighth of the budget as surplus, unless it was busy within 100 ms. A test fails without it.

--- a/gateway/src/doors.rs
+++ b/gateway/src/doors.rs
@@ -29,7 +29,11 @@
     /// What its connection does from now on.
     pub fn does(&self, doing: Doing) {
         let now = self.doors.now();
-        self.doors.lock().places.does(self.id, doing, now);
+        let mut inner = self.doors.lock();
+        inner.places.does(self.id, doing, now);
+        while let Some(other) = inner.places.surplus(now) {
+            inner.end(other);
+        }
     }
 
     /// Whether it has been given away: its connection ends with what it does.
--- a/gateway/src/places.rs
+++ b/gateway/src/places.rs
@@ -20,6 +20,12 @@
 /// way to another: beyond it a flood pushes out itself, and not the connections that usual clients keep.
 const CROWD_PART: f64 = 0.5;
 
+/// So much of the budget may stand idle at clients' side. Clients that ask once and keep their connection are many: they
+/// leave others none long before the gateway's own places are short (incident rfd526e).
+const IDLE_PART: f64 = 0.125;
+/// Yet nobody is ended who has been idle for less: its next message may be on its way.
+const IDLE_LEAST_MS: f64 = 100.0;
+
 /// What a client's connection does, from its accept on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Doing {
@@ -139,6 +145,16 @@
         }
     }
 
+    /// The one that has been idle for longest, where more are than may be: it gives way.
+    pub fn surplus(&mut self, now: f64) -> Option<ClientId> {
+        if self.count(Doing::Idle) <= self.part(IDLE_PART).max(1) {
+            return None;
+        }
+        let other = self.longest(Doing::Idle, now, IDLE_LEAST_MS)?;
+        self.leave(other);
+        Some(other)
+    }
+
     /// A connection has ended; false if it had given way before.
     pub fn leave(&mut self, id: ClientId) -> bool {
         let Some((doing, since)) = self.doing.remove(&id) else { return false };
--- a/gateway/tests/places.rs
+++ b/gateway/tests/places.rs
@@ -159,3 +159,32 @@
     places.does(clients[60], Doing::Open, 3.0);
     assert_eq!(places.clients(), 24);
 }
+
+#[test]
+fn clients_that_ask_once_and_keep_their_connection_leave_room_to_others() {
+    // The clients' side holds a third of the descriptors at most. Idle ones that are kept for 2 s would fill it at
+    // 60 a second, and usual clients would get no connection though every host has room: incident rfd526e.
+    let mut places = Places::new(336);
+    let (mut ended, mut most) = (0, 0);
+    for n in 0..600u32 {
+        let now = f64::from(n) * 16.0;
+        let Admission::Taken(id) = places.admit(now) else { panic!("there is room") };
+        places.does(id, Doing::Open, now + 2.0);
+        places.does(id, Doing::Idle, now + 12.0);
+        while places.surplus(now + 12.0).is_some() {
+            ended += 1;
+        }
+        most = most.max(places.clients());
+    }
+    assert!(most <= 336 / 8 + 1, "{most}");
+    assert_eq!(ended, 600 - places.clients());
+
+    // Those that were busy a moment ago are left alone: their next message may be on its way.
+    let mut places = Places::new(80);
+    for n in 0..30u32 {
+        let Admission::Taken(id) = places.admit(0.0) else { panic!("there is room") };
+        places.does(id, Doing::Idle, f64::from(n));
+    }
+    assert_eq!(places.surplus(60.0), None);
+    assert_eq!((places.surplus(101.0).is_some(), places.surplus(101.5).is_some()), (true, true));
+}
