--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -135,12 +135,29 @@
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
     let mut names = Vec::new();
     for entry in std::fs::read_dir(folder).expect("the folder") {
-        let experiment = Experiment::load(&entry.expect("an entry").path()).expect("a sound file");
-        names.push(experiment.name);
+        let path = entry.expect("an entry").path();
+        if path.is_file() {
+            names.push(Experiment::load(&path).expect("a sound file").name);
+        }
     }
     assert!(names.len() >= 9, "{names:?}");
 }
 
+#[test]
+fn the_module_leaves_the_jam_behind_once_its_cause_is_gone() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/jam.toml");
+    let mut experiment = Experiment::load(&path).expect("a sound file");
+    assert!(experiment.only("module"));
+    experiment.seeds = 3;
+    let (results, _) = experiment.run(2, &|| ()).expect("it plays");
+    for run in &results.variants[0].runs {
+        let f = &run.findings;
+        // Attempts that are given up early and sent again kept these seeds at 0.77 to 0.82, and seven of 20 for good.
+        assert!(f.service > 0.85 && f.at_end > 0.95, "seed {}: {} {}", run.seed, f.service, f.at_end);
+        assert_eq!(f.broken, []);
+    }
+}
+
 #[test]
 fn a_comparison_calls_noise_noise() {
     let base: Vec<f64> = (0..20).map(|n| 0.8 + 0.01 * f64::from(n % 5)).collect();
