--- a/lab/src/policy/mod.rs
+++ b/lab/src/policy/mod.rs
@@ -19,6 +19,35 @@
     }
 }
 
+/// Settings of a gateway that is alone before warm hosts in one zone and has no retry to spare: for measuring one
+/// decision, and the limiter by itself.
+pub fn alone(classes: Vec<ternstack::Class>, tenants: Vec<ternstack::Tenant>) -> Settings {
+    Settings {
+        classes,
+        tenants,
+        instances: 1,
+        me: 0,
+        zone: 0,
+        tick_ms: 1.0,
+        live_weights: false,
+        cross_price: 0.0,
+        idle_ms: 1e6,
+        reports: ternstack::Reports::Inline,
+        ask_discovery: false,
+        max_attempts: 1,
+        may_probe: false,
+        may_cancel: false,
+        max_retry_after_ms: 1e9,
+        ask_within_ms: 1e6,
+        cold_share: 1.0,
+        cold_ms: 0.0,
+        tip_multiple: 3.0,
+        removal_not_binding: false,
+        nines: 0.0,
+        top_nines: None,
+    }
+}
+
 /// Which policy a variant plays.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
