Say once in the laboratory what stood twice: lines of a text, checks, one impl

Cause: read over, the laboratory counted the lines of a text in two places, wrote the check of a figure anew in trouble though spec had it, and split one type over two impl blocks. Change: line_at serves both, trouble calls spec's need, Which has one impl. No behaviour changed.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -96,9 +96,13 @@
     path.split(['.', '[', ']']).filter(|step| !step.is_empty())
 }
 
+/// The line, from 1, of a byte of a text.
+fn line_at(text: &str, at: usize) -> usize {
+    1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count()
+}
+
 /// The line, from 1, of the deepest part of a path that the text has.
 fn line_of(text: &str, path: &str) -> usize {
-    let line = |at: usize| 1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count();
     let Ok(root) = DeTable::parse(text) else { return 1 };
     let root = root.into_inner();
     let (mut found, mut table, mut list): (usize, Option<&DeTable>, Option<&DeArray>) =
@@ -125,7 +129,7 @@
             _ => break,
         }
     }
-    line(found)
+    line_at(text, found)
 }
 
 /// Puts a value at a path.
@@ -166,8 +170,7 @@
     pub fn read(text: &str) -> Result<Self, String> {
         let experiment: Experiment = toml::from_str(text).map_err(|e| {
             let at = e.span().map_or(0, |s| s.start);
-            let line = 1 + text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count();
-            format!("{line}: {}", e.to_string().trim_end())
+            format!("{}: {}", line_at(text, at), e.to_string().trim_end())
         })?;
         experiment
             .check()
--- a/lab/src/policy/mod.rs
+++ b/lab/src/policy/mod.rs
@@ -78,18 +78,6 @@
         Which::PeakEwma,
     ];
 
-    /// Makes the policy of one gateway. `budget` is the part of the first attempts that may be repeated, where the
-    /// policy has such a limit; the module has its own.
-    pub fn make(self, settings: Settings, seed: u64, budget: Option<f64>) -> Result<Box<dyn Policy>, String> {
-        settings.check().map_err(|e| e.to_string())?;
-        Ok(match self {
-            Which::Module => Box::new(Balancer::new(settings, seed).map_err(|e| e.to_string())?),
-            rival => Box::new(rivals::Rival::new(rival, settings, seed, budget)),
-        })
-    }
-}
-
-impl Which {
     /// Its name, in words.
     pub fn name(self) -> &'static str {
         match self {
@@ -101,6 +89,16 @@
             Which::PeakEwma => "peak EWMA",
         }
     }
+
+    /// Makes the policy of one gateway. `budget` is the part of the first attempts that may be repeated, where the
+    /// policy has such a limit; the module has its own.
+    pub fn make(self, settings: Settings, seed: u64, budget: Option<f64>) -> Result<Box<dyn Policy>, String> {
+        settings.check().map_err(|e| e.to_string())?;
+        Ok(match self {
+            Which::Module => Box::new(Balancer::new(settings, seed).map_err(|e| e.to_string())?),
+            rival => Box::new(rivals::Rival::new(rival, settings, seed, budget)),
+        })
+    }
 }
 
 /// A policy whose time on the wall is added up. The time goes nowhere near the run itself.
--- a/lab/src/trouble.rs
+++ b/lab/src/trouble.rs
@@ -4,7 +4,7 @@
 use crate::world::clients::Surge;
 use crate::world::draw::{stream, Purpose, Span};
 use crate::world::hosts::Life;
-use crate::world::spec::World;
+use crate::world::spec::{need, World};
 use crate::world::{us, Us};
 use rand::seq::SliceRandom;
 use rand::RngExt;
@@ -200,13 +200,6 @@
 
     /// Tells what is wrong with it in a world of this size, by key.
     pub fn check(&self, world: &World) -> Result<(), String> {
-        let need = |ok: bool, key: &str, wanted: &str| {
-            if ok {
-                Ok(())
-            } else {
-                Err(format!("{key}: {wanted}"))
-            }
-        };
         let share = |x: f64| x > 0.0 && x <= 1.0;
         let more = |x: f64| x.is_finite() && x >= 1.0;
         need(self.at_s.is_finite() && self.at_s > 0.0, "at_s", "expected a number above 0")?;
--- a/lab/src/world/spec.rs
+++ b/lab/src/world/spec.rs
@@ -534,7 +534,7 @@
 }
 
 /// Checks one figure; the error says what was expected.
-fn need(ok: bool, key: impl Into<String>, wanted: &str) -> Result<(), String> {
+pub(crate) fn need(ok: bool, key: impl Into<String>, wanted: &str) -> Result<(), String> {
     if ok {
         Ok(())
     } else {
