Count a client's connection from its accept on, not from its task's first run

Cause: the count by which a stopping gateway knows that no client is left was raised inside the spawned task; a connection accepted a moment before could be taken for nobody. Change: the count is raised before the task is spawned, and falls when the task ends.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -76,19 +76,19 @@
     back_off_ms: f64,
 }
 
-/// A connection that is being served.
-struct Live<'a>(&'a AtomicUsize);
+/// A connection that is being served, from its accept on.
+struct Live(Arc<Intake>);
 
-impl<'a> Live<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Live(count)
+impl Live {
+    fn new(intake: Arc<Intake>) -> Self {
+        intake.live.fetch_add(1, Ordering::Relaxed);
+        Live(intake)
     }
 }
 
-impl Drop for Live<'_> {
+impl Drop for Live {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.live.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -145,10 +145,10 @@
                         Some((place, ended, made_room)) => (Entry::Place(place, ended), made_room),
                         None => (Entry::Spare(spare), false),
                     };
-                    let intake = self.clone();
+                    // Counted before its task runs: a gateway that ends must not take it for nobody.
+                    let live = Live::new(self.clone());
                     tokio::spawn(async move {
-                        let _live = Live::new(&intake.live);
-                        if let Err(e) = intake.serve(stream, entry).await {
+                        if let Err(e) = live.0.serve(stream, entry).await {
                             debug!("client: {e}");
                         }
                     });
