Use connections that refuse TCP_NODELAY: one such refusal cost a gateway its south side

Logged each dial and exchange: 92,027 dials came up, and set_nodelay failed on each (EBADF); no dial timed out, no write failed, no host refused, no descriptor was short (all ruled out by the same log). A dropped socket's number is given to the next dial, which met the error again: so one became all. At fault: the line after the dial in relay.rs that made NoConnection of it; the same stood in inventory.rs and intake.rs.

Change: one function opens every connection, logs the refusal at debug and goes on. Its test fed the old behaviour and failed (Operation not supported), and passes now.

Open: why a socket that is up answers EBADF to that option; noted as a question.

--- a/gateway/src/intake.rs
+++ b/gateway/src/intake.rs
@@ -8,6 +8,7 @@
 use crate::http1::{Ask, Reader, Whole, MAX_BODY};
 use crate::places::Doing;
 use crate::relay::Envelope;
+use crate::sockets::opened;
 use bytes::{Buf, Bytes, BytesMut};
 use std::collections::HashSet;
 use std::io;
@@ -139,8 +140,8 @@
             // Guards against clients that wait unheard: where there is no place and nobody gives way, a few more
             // are taken in and told to come back later. Beyond these the listener's own queue has to do.
             let Ok(spare) = self.spare.clone().acquire_owned().await else { return };
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match opened(listener.accept().await.map(|(stream, _)| stream)) {
+                Ok(stream) => {
                     let (entry, made_room) = match self.doors.enter() {
                         Some((place, ended, made_room)) => (Entry::Place(place, ended), made_room),
                         None => (Entry::Spare(spare), false),
@@ -190,7 +191,6 @@
 
     /// Serves a client until one side ends the connection.
     async fn serve(&self, mut stream: TcpStream, entry: Entry) -> io::Result<()> {
-        stream.set_nodelay(true)?;
         let (place, mut given_away) = match entry {
             Entry::Place(place, given_away) => (Ok(place), Some(given_away)),
             Entry::Spare(spare) => (Err(spare), None),
--- a/gateway/src/inventory.rs
+++ b/gateway/src/inventory.rs
@@ -1,6 +1,7 @@
 //! Discovery's watch: asks for the inventory, follows its changes, and hands on what it reads.
 use crate::decide::{Input, Queue};
 use crate::http1::{Reader, Status, Whole};
+use crate::sockets::opened;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -179,10 +180,7 @@
 
 async fn dial(discovery: SocketAddr, dial_timeout: Duration) -> Result<TcpStream, String> {
     let dialled = timeout(dial_timeout, TcpStream::connect(discovery)).await;
-    let stream =
-        dialled.map_err(|_| "cannot connect in time")?.map_err(|e| format!("cannot connect: {e}"))?;
-    stream.set_nodelay(true).map_err(|e| e.to_string())?;
-    Ok(stream)
+    opened(dialled.map_err(|_| "cannot connect in time")?).map_err(|e| format!("cannot connect: {e}"))
 }
 
 async fn call(
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Balancer`](ternstack::Balancer), [`relay`] carries messages to south side hosts, [`answer`] words what
 //! the client gets, and [`inventory`] follows discovery's list. [`http1`] parses and frames bytes, [`clock`]
 //! tells the time, [`config`] reads what the gateway is told at its start. [`places`] decides who holds a
-//! descriptor and who gives way, [`doors`] tells them.
+//! descriptor and who gives way, [`doors`] tells them; [`sockets`] makes a new connection fit for use.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -18,6 +18,7 @@
 pub mod inventory;
 pub mod places;
 pub mod relay;
+pub mod sockets;
 
 use config::Config;
 use decide::{Decider, QUEUE};
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -5,6 +5,7 @@
 use crate::decide::{Input, Queue};
 use crate::doors::Doors;
 use crate::http1::{Fields, Reader, Status, Whole, MAX_BODY};
+use crate::sockets::opened;
 use bytes::{Buf, Bytes};
 use std::collections::BTreeMap;
 use std::io;
@@ -251,14 +252,12 @@
         _ = &mut relay.called_off => return Err(Outcome::CalledOff),
         dialled = timeout_at(until, TcpStream::connect(relay.host)) => dialled,
     };
-    let stream = match dialled {
-        Ok(Ok(stream)) => stream,
+    match dialled.map(opened) {
+        Ok(Ok(stream)) => Ok(stream),
         // Guards against blaming the host for this machine's lack of descriptors or ports.
-        Ok(Err(e)) if is_ours(&e) => return Err(Outcome::NotSent),
-        _ => return Err(Outcome::NoConnection),
-    };
-    stream.set_nodelay(true).map_err(|_| Outcome::NoConnection)?;
-    Ok(stream)
+        Ok(Err(e)) if is_ours(&e) => Err(Outcome::NotSent),
+        _ => Err(Outcome::NoConnection),
+    }
 }
 
 /// Whether an error tells of this machine and not of the other: `EMFILE`, `ENFILE`, `EADDRNOTAVAIL`,
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -12,6 +12,7 @@
 use ternstack_gateway::decide::Input;
 use ternstack_gateway::doors::Doors;
 use ternstack_gateway::relay::{Envelope, Relay, RelayEnd, SouthSide};
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout, Instant};
@@ -337,3 +338,19 @@
     let text = text.replace("\"discovery\":\"127", "\"elsewhere\":\"127");
     assert_eq!(Config::reread(&text, variable).expect("sound").discovery.port(), 8);
 }
+
+#[tokio::test]
+async fn a_connection_that_takes_no_option_still_carries_what_it_is_given() {
+    // Such a socket refuses TCP_NODELAY as one of another family does.
+    let (ours, theirs) = std::os::unix::net::UnixStream::pair().expect("a pair");
+    ours.set_nonblocking(true).expect("non-blocking");
+    let odd = std::net::TcpStream::from(std::os::fd::OwnedFd::from(ours));
+    assert!(odd.set_nodelay(true).is_err(), "the option is taken: this test shows nothing");
+    let odd = tokio::net::TcpStream::from_std(odd).expect("a stream");
+    let mut stream = ternstack_gateway::sockets::opened(Ok(odd)).expect("a connection that goes on");
+    stream.write_all(b"relay").await.expect("written");
+    drop(stream);
+    let mut read = String::new();
+    std::io::Read::read_to_string(&mut &theirs, &mut read).expect("read");
+    assert_eq!(read, "relay");
+}
