Spread calls to discovery over the fleet, and ask only for what a known list lacks

All ask in the first 20 ms for the whole list (known revision 0 was taken for none: inventory.rs, follow), 6,000 entries that discovery must write; what it turns away asks again 0.4, 1.0, 2.0 s later, all together, since the pauses are told by a timer of 200 ms (state.rs) and take no account of how many ask (balance.rs, on_list). Probe: with revision 0 known, 39 of 100 first calls got a watch, 61 waited 2 s for a 503, came back together and again found the line full. Ruled out: continued watches (the same 39 went on at 6 and 12 s in the fullest line).

Change: the first call and each repeat are spread over 50 ms a gateway, 5 s at most; fleets of up to 4 ask at once as before; a timer at the wished time; revision 0 of a list that is not empty counts; a call may take 3.5 s longer than its wait, past the 3 s that discovery keeps one in line. Both tests fail without it.

--- a/gateway/src/inventory.rs
+++ b/gateway/src/inventory.rs
@@ -16,8 +16,9 @@
 /// soon after that wait; yet long enough for few calls.
 const WAIT_MS: u64 = 6_000;
 const WAIT: Duration = Duration::from_millis(WAIT_MS);
-/// How much longer than its wait a call may take before discovery counts as silent.
-const GRACE: Duration = Duration::from_millis(1_800);
+/// How much longer than its wait a call may take before discovery counts as silent: longer than it keeps a call in
+/// its line, lest the place there be wasted and the next call wait behind it.
+const GRACE: Duration = Duration::from_millis(3_500);
 /// The pause after an answer that came at once and told nothing; a watch breaks after 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
 /// The most bytes of a list: far more than any fleet needs, far less than the memory.
@@ -103,12 +104,12 @@
     Lost,
 }
 
-/// Watches discovery each time it is told to, until a call fails; and at once where it has moved to.
+/// Watches discovery each time it is told to, from the list of revision `rev` on, until a call fails; and at once
+/// where it has moved to.
 pub async fn follow(
-    mut discovery: watch::Receiver<SocketAddr>, dial_timeout: Duration, known: u64,
+    mut discovery: watch::Receiver<SocketAddr>, dial_timeout: Duration, mut rev: Option<u64>,
     mut asked: mpsc::Receiver<()>, queue: Queue,
 ) {
-    let mut rev = (known > 0).then_some(known);
     loop {
         let mut moved = tokio::select! {
             asked = asked.recv() => match asked {
@@ -150,7 +151,7 @@
     loop {
         let (query, wait) = match rev {
             Some(rev) => (format!("?after={rev}&wait_ms={WAIT_MS}"), WAIT + GRACE),
-            None => (String::new(), GRACE + GRACE),
+            None => (String::new(), GRACE),
         };
         let text = format!("GET /v1/endpoints{query} HTTP/1.1\r\nHost: {discovery}\r\n\r\n");
         // Guards against discovery falling silent: each call has its own deadline.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -58,12 +58,14 @@
     let longest = site.balancer.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
     let doors = Doors::new(sockets.saturating_sub(OWN_SOCKETS + SPARE));
     let south = SouthSide::new(queue.clone(), doors.clone(), site.balancer.idle_ms, dial_timeout);
-    let (rev, hosts) = (known.rev, known.targets.len());
+    let (hosts, rev) = (known.targets.len(), known.rev);
+    // A known list of any revision, 0 too, saves discovery the whole one.
+    let held = (hosts > 0).then_some(rev);
     let decider = Decider::new(site.clone(), seed, known, south, watch_wanted)?;
     let intake = Intake::new(site, queue.clone(), phase_now, doors);
 
     let mut deciding = tokio::spawn(decider.run(inputs));
-    let following = tokio::spawn(inventory::follow(discovery, dial_timeout, rev, watch_asked, queue));
+    let following = tokio::spawn(inventory::follow(discovery, dial_timeout, held, watch_asked, queue));
     let accepting = tokio::spawn(intake.clone().accept(listener));
     info!(name, %listen, hosts, rev, "serving");
     tokio::select! {
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -346,3 +346,15 @@
         Ok(())
     );
 }
+
+#[tokio::test]
+async fn a_known_list_of_any_revision_is_not_asked_for_again() {
+    for (known, call) in [(vec![], "/v1/endpoints"), (vec![1], "/v1/endpoints?after=0&wait_ms=6000")] {
+        let (host, mut discovery) = (Host::start(SERVED).await, Discovery::start().await);
+        let known = known.into_iter().map(|n| target(n, host.at, "SERVING")).collect();
+        let mut config = config(vec![], discovery.at);
+        config["known"] = list(0, true, known);
+        let _gateway = Gateway::start(&config).await;
+        assert_eq!(discovery.call().await.0, call);
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -56,6 +56,7 @@
 const ODD_PATIENCE: f64 = 0.05; // A patience further than this part of the deadline from the usual is odd.
 const USUAL_VOTES: f64 = 50.0; // The usual patience yields once odd ones outnumber it by so many.
 pub(crate) const WATCH_MS: f64 = 200.0; // First pause before subscribing anew, doubled and jittered.
+const CALL_MS: f64 = 50.0; // Discovery is one for all: gateways spread their calls, so far apart on the mean.
 pub(crate) const WAKE_MS: f64 = 10.0; // Held requests and probes are looked after this often.
 pub(crate) const LOG_MS: f64 = 5000.0; // Refusals are summed up in a log line at most this often.
 
@@ -671,18 +672,27 @@
         }
     }
 
+    /// Within what time all gateways' calls to discovery are spread: a list may be so old at the start.
+    fn spread(&self) -> f64 {
+        (CALL_MS * f64::from(self.settings.instances - 1)).min(self.settings.ask_within_ms / 2.0)
+    }
+
     pub(crate) fn on_list(
         &mut self, now: f64, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>,
     ) {
         if kind == ListKind::Lost {
-            let pause = self.watch_pause * (1.0 + self.rng.rand_float());
+            let pause = self.watch_pause.max(self.spread()) * (0.5 + self.rng.rand_float());
             self.watch_pause = (self.watch_pause * 2.0).min(self.settings.ask_within_ms / 8.0);
             self.watch_at = Some(now + pause);
             return;
         }
         self.watch_pause = WATCH_MS;
         if kind == ListKind::WarmCopy && self.settings.ask_discovery {
-            actions.push(Action::Watch);
+            // Guards against a line at discovery that no gateway gets through when all start at once.
+            match self.spread() * self.rng.rand_float() {
+                wait if wait < WATCH_MS => actions.push(Action::Watch),
+                wait => self.watch_at = Some(now + wait),
+            }
         }
         // Guards against a list that calls running servers gone. Where only drains bind, what has served, or
         // was there from the start, stays in use until it fails or has long been silent; what drained never.
--- a/src/state.rs
+++ b/src/state.rs
@@ -185,8 +185,9 @@
             Event::Timer { .. } => self.on_wake(now, actions),
         }
         self.log(now, actions);
-        let slow = if self.watch_at.is_some() || self.may_probe() { 20.0 } else { f64::INFINITY };
+        let slow = if self.may_probe() { 20.0 } else { f64::INFINITY };
         let wake = now + (if self.held.is_empty() { slow } else { 1.0 }) * WAKE_MS.max(self.settings.tick_ms);
+        let wake = wake.min(self.watch_at.unwrap_or(wake));
         if wake < self.wake_at {
             self.wake_at = wake;
             actions.push(Action::Timer { at: wake, token: 0 });
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -359,6 +359,28 @@
     assert_eq!(sent(&bench.request(0, None).1), Some(ServerId(0)), "the old list stands");
 }
 
+#[test]
+fn a_large_fleet_spreads_its_calls_to_discovery_from_the_start_on_and_after_failures() {
+    let mut first = Vec::new();
+    let mut again = Vec::new();
+    for me in 0..100 {
+        let mut bench = Bench::new(Settings { me, instances: 100, ask_discovery: true, ..settings() }, 0);
+        for (kind, calls) in [(ListKind::WarmCopy, &mut first), (ListKind::Lost, &mut again)] {
+            let mut actions = bench.list(kind, Vec::new());
+            let from = bench.now;
+            while !actions.contains(&Action::Watch) {
+                assert!(bench.now - from < 10_000.0, "asked within the time allowed");
+                actions = bench.wake(10.0);
+            }
+            calls.push(bench.now - from);
+        }
+    }
+    for calls in [first, again] {
+        let most = (0..8).map(|s| calls.iter().filter(|at| (**at / 1000.0) as u32 == s).count()).max();
+        assert!(most < Some(35), "100 calls, {most:?} of them in one second");
+    }
+}
+
 #[test]
 fn a_client_that_went_away_frees_its_attempt() {
     let mut bench = Bench::new(settings(), 1);
