--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -166,7 +166,7 @@
 #[test]
 fn a_hundred_gateways_bear_what_a_few_do() {
     // Where twelve gateways share a host, one relay out from each is a crowd: see the note on large fleets.
-    for (name, seeds, least) in [("fleet-herd", 2, 0.9), ("fleet-zone", 1, 0.47), ("fleet-join", 2, 0.93)] {
+    for (name, seeds, least) in [("fleet-herd", 2, 0.9), ("fleet-zone", 1, 0.7), ("fleet-join", 2, 0.93)] {
         for (seed, f) in findings(name, seeds) {
             assert!(f.service > least, "{name}, seed {seed}: {}", f.service);
             assert_eq!(f.broken, [], "{name}, seed {seed}");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -327,10 +327,14 @@
 
     // ---- pick ----
 
+    /// 1 where the gateways are so few that each hears enough of every server, and less the more there are.
+    fn few(&self) -> f64 {
+        (USERS * self.even).min(1.0)
+    }
+
     /// How many servers this gateway uses, by its part of the traffic: a server has about USERS gateways.
     fn wanted(&self) -> usize {
-        // Each of a few gateways hears enough of every server.
-        let users = USERS * (1.0 + 2.0 * (USERS * self.even).min(1.0));
+        let users = USERS * (1.0 + 2.0 * self.few());
         (users * self.fleet.size() as f64 * self.fraction).max(FEW).ceil() as usize
     }
 
@@ -412,9 +416,12 @@
             }
             // Guards against a hung or silent server: with work out and nothing heard, it gets nothing new.
             let silent = s.out > 0 && now - s.quiet_since > SILENT_AFTER * typical;
-            let filled = f64::from(s.out) / self.bound(now, s, mean).max(1.0);
+            let bound = self.bound(now, s, mean).max(1.0);
+            let filled = f64::from(s.out) / bound;
             let (wrong, at) = s.errors.get(request.class).copied().unwrap_or_default();
-            if silent || filled >= 1.0 || now < s.next_send {
+            // Guards against a part of a request that each of many gateways rounds up to a whole one.
+            let rounded = filled + (1.0 - self.few()) / bound;
+            if silent || rounded >= 1.0 || now < s.next_send {
                 continue;
             }
             if wrong - errors > ERROR_PART {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -381,6 +381,20 @@
     }
 }
 
+#[test]
+fn of_a_part_of_a_request_many_gateways_make_none_and_a_few_a_whole_one() {
+    for (instances, second) in [(2, true), (100, false)] {
+        let mut bench = Bench::new(Settings { instances, ..settings() }, 1);
+        for _ in 0..100 {
+            bench.now += 100.0;
+            bench.serve(&|_| report(10.0, 0.3)).expect("there is room");
+        }
+        // It does 33 a second, all of it for this gateway: 1.7 drain in a quarter of the aim of 200 ms.
+        assert!(sent(&bench.request(2, None).1).is_some());
+        assert_eq!(sent(&bench.request(2, None).1).is_some(), second, "{instances} gateways");
+    }
+}
+
 #[test]
 fn a_client_that_went_away_frees_its_attempt() {
     let mut bench = Bench::new(settings(), 1);
