Let few gateways by number share a cold host, so that all together push none over

All gateways of the zone then see a row of 1, or 27, and each takes six of it into use (refill, widen), so a host has 35 to 150 users where `share` in pace() counts with 11. Ruled out: relays kept for a connection (7 of 58 sends before the list's word, all trials), keyed repeats (none).

Change: a cold host is shared by twelve gateways, next to it on a ring by their numbers and its id, whatever lists and rows they have, and each paces by a twelfth; others leave it until it is warm. In small fleets all share it, as before. Trials at a lost host get rarer as stand-ins are used for it. A host's listed size counts for what it bears cold. New hosts come into use by the ring, so their draw by chance goes. A list that goes back to an earlier start, or ahead of the clock, is bounded.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,6 +42,7 @@
 const MAX_EJECT_AIMS: f64 = 5.0;
 const UNLISTED_MS: f64 = 60_000.0; // So long a server that the list no longer has is kept without an answer.
 const COLD_AFTER_MS: f64 = 8000.0; // A server back after so long a silence counts as cold.
+const COLD_USERS: f64 = 12.0; // So many gateways share a cold server; a small fleet's all do.
 const COLD_PART: f64 = 0.25; // Slow start uses this part of the multiple at which a cold server falls over.
 const SILENT_AFTER: f64 = 3.0; // Typical latencies after which an attempt or a server counts as silent.
 const RETRY_PART: f64 = 0.15; // Further attempts may be this part of the first ones, plus RETRY_BURST.
@@ -93,7 +94,7 @@
         let fraction = (own / (mean * self.fleet.size() as f64)).clamp(self.even / 4.0, 1.0);
         self.fraction += FRACTION_GAIN * (fraction - self.fraction);
         if self.wanted() > self.fleet.used[0].len() {
-            self.refill();
+            self.refill(now);
         }
     }
 
@@ -153,10 +154,11 @@
     /// The design's weight, in requests a second; equal ones if no server has reported.
     fn weight(&self, now: f64, s: &Server, mean: f64) -> f64 {
         let cold = mean * self.warmth(now, s);
-        s.weight.unwrap_or_else(|| cold * self.size(s)).max(WEIGHT_FLOOR * cold).max(1e-6)
+        let told = if self.settings.live_weights { self.size(s) } else { 1.0 };
+        s.weight.unwrap_or(cold * told).max(WEIGHT_FLOOR * cold).max(1e-6)
     }
 
-    /// A server's listed size by the mean of those in use, where weights are live: until it has reported.
+    /// A server's listed size by the mean of those in use: until it has reported.
     fn size(&self, s: &Server) -> f64 {
         let mean = if s.nominal > 0.0 { self.fleet.mean(|s| Some(s.nominal)) } else { None };
         mean.map_or(1.0, |mean| s.nominal / mean)
@@ -172,10 +174,22 @@
     /// Slow start: the time between sends with which all gateways' together stay within what the server's age
     /// or reports say it can carry, by the part of it that a slower kind, handshakes and chance leave.
     fn pace(&self, now: f64, s: &Server) -> f64 {
-        let (warmth, part) = (self.warmth(now, s), (COLD_PART * self.settings.tip_multiple).min(1.0));
-        let by_age = self.mean_capacity().max(1.0) * warmth;
-        let carries = (by_age + s.capacity.unwrap_or(0.0).min(by_age)) * part * self.share;
-        f64::from(u8::from(warmth < 1.0)) * 1000.0 / carries.max(1e-3)
+        let Some(mine) = self.cold_part(now, s) else { return 0.0 };
+        let by_age = self.mean_capacity().max(1.0) * self.size(s) * self.warmth(now, s);
+        let part = (COLD_PART * self.settings.tip_multiple).min(1.0) * mine;
+        let carries = (by_age + s.capacity.unwrap_or(0.0).min(by_age)) * part;
+        (1000.0 / carries.max(1e-3)).min(self.settings.cold_ms)
+    }
+
+    /// This gateway's part of what a cold server is sent, by numbers that all gateways know: so many of them,
+    /// next to the server on a ring, share it, and others leave it alone until it is warm; then `None`.
+    /// Guards against a share by the mean number of users, which a zone that comes back multiplies.
+    fn cold_part(&self, now: f64, s: &Server) -> Option<f64> {
+        let all = f64::from(self.settings.instances);
+        let users = COLD_USERS.max(2.0 * FEW * all / self.fleet.size().max(1) as f64).min(all);
+        let on_ring = s.listed.place.wrapping_mul(0x9e37_79b9_7f4a_7c15) as f64 / 2f64.powi(64);
+        let at = (f64::from(self.settings.me) * 0.618_033_988_75 - on_ring).rem_euclid(1.0);
+        (self.warmth(now, s) < 1.0).then(|| f64::from(u8::from(at * all < users)) / users)
     }
 
     /// How much this gateway may have out at a server: its part of what drains within QUEUE_PART of an aim.
@@ -284,9 +298,9 @@
                     s.ejected = Some((now + wait, wait));
                     if s.unlisted.is_some() && wait >= longest {
                         s.listed.readiness = Readiness::Left;
-                        self.follow(&[]);
+                        self.follow(now);
                     }
-                    self.refill();
+                    self.refill(now);
                 }
             }
         }
@@ -349,50 +363,51 @@
     }
 
     /// Takes one more server into use: a low-discrepancy sequence over all gateways uses servers evenly.
-    fn widen(&mut self, side: usize) -> Option<ServerId> {
-        let (row, used) = (&self.fleet.rows[side], &mut self.fleet.used[side]);
+    fn widen(&mut self, now: f64, side: usize) -> Option<ServerId> {
         self.drawn += 1.0;
+        let (row, used) = (&self.fleet.rows[side], &self.fleet.used[side]);
         let at = (f64::from(self.settings.me) * 0.618_033_988_75 + self.drawn * 0.414_213_562_37).fract();
         let from = (at * row.len() as f64) as usize;
-        let id = (0..row.len()).map(|n| row[(from + n) % row.len()]).find(|id| !used.contains(id))?;
-        used.push(id);
+        let mut ids = (0..row.len()).map(|n| row[(from + n) % row.len()]);
+        let others = |s: &Server| self.cold_part(now, s) == Some(0.0);
+        let id = ids.find(|id| !used.contains(id) && !self.fleet.servers.get(id).is_some_and(others))?;
+        self.fleet.used[side].push(id);
         Some(id)
     }
 
-    /// Keeps enough servers in use that are listed and not ejected.
-    fn refill(&mut self) {
+    /// Keeps enough servers in use that are listed, not ejected and not left to others, and the cold ones
+    /// that it shares.
+    fn refill(&mut self, now: f64) {
         let wanted = self.wanted();
         for side in 0..2 {
             if wanted >= self.fleet.rows[side].len() {
                 self.fleet.used[side].clone_from(&self.fleet.rows[side]);
                 continue;
             }
-            let ok = |id: &&ServerId| self.fleet.servers.get(id).is_some_and(|s| s.ejected.is_none());
-            let mut fit = self.fleet.used[side].iter().filter(ok).count();
-            while fit < wanted && self.widen(side).is_some() {
+            let (row, used) = (&self.fleet.rows[side], &self.fleet.used[side]);
+            let part = |id: &ServerId| self.cold_part(now, &self.fleet.servers[id]);
+            let fit = |id: &&ServerId| part(id) != Some(0.0) && self.fleet.servers[id].ejected.is_none();
+            let mut fit = used.iter().filter(fit).count();
+            let mine = |id: &&ServerId| part(id).is_some_and(|p| p > 0.0) && !used.contains(id);
+            let mine: Vec<_> = row.iter().filter(mine).copied().collect();
+            self.fleet.used[side].extend(mine);
+            while fit < wanted && self.widen(now, side).is_some() {
                 fit += 1;
             }
         }
         self.share = (self.fleet.size() as f64 * self.even / wanted as f64).clamp(self.even, 1.0);
     }
 
-    /// Follows the list: what is new is taken into use by chance, in place of another.
-    fn follow(&mut self, new: &[ServerId]) {
+    /// Follows the list, and lets go by chance what is more than wanted.
+    fn follow(&mut self, now: f64) {
         self.fleet.index(self.settings.zone);
         let wanted = self.wanted();
-        for side in 0..2 {
-            let any = !self.fleet.used[side].is_empty();
-            for id in new.iter().filter(|id| any && self.fleet.rows[side].contains(id)) {
-                if self.rng.rand_float() * (self.fleet.rows[side].len() as f64) < wanted as f64 {
-                    self.fleet.used[side].push(*id);
-                }
-            }
-            while self.fleet.used[side].len() > wanted {
-                let at = self.rng.rand_range(0..self.fleet.used[side].len() as u64) as usize;
-                self.fleet.used[side].swap_remove(at);
+        for used in &mut self.fleet.used {
+            while used.len() > wanted {
+                used.swap_remove(self.rng.rand_range(0..used.len() as u64) as usize);
             }
         }
-        self.refill();
+        self.refill(now);
     }
 
     /// Draws a server for an attempt: at random by weight, own zone first, where there is room.
@@ -403,6 +418,7 @@
         let errors = self.least_errors(request.class);
         let typical = self.latency.iter().copied().fold(0.0, f64::max);
         let ran = request.ran();
+        let wanted = self.wanted() as f64;
         let (mut own, mut far, mut spare) = (Vec::new(), Vec::new(), false);
         let keyed = class.effect == Effect::Keyed && class.group != Group::All && ran.is_some();
         for &id in if keyed { &self.fleet.rows } else { &self.fleet.used }.iter().flatten() {
@@ -416,8 +432,11 @@
             if s.listed.readiness != Readiness::Active || !same || tried {
                 continue;
             }
-            if let Some((trial_at, _)) = s.ejected {
-                // Half-open trial: one request that may be repeated shows whether the server is back.
+            if let Some((trial_at, wait)) = s.ejected {
+                // Half-open trial: one request that may be repeated shows whether the server is back. Guards
+                // against as many times the trials at a lost server as all gateways use stand-ins for it.
+                let used = self.fleet.used[usize::from(s.listed.zone != self.settings.zone)].len() as f64;
+                let trial_at = trial_at + wait * (used / wanted - 1.0).max(0.0);
                 let spare = class.effect == Effect::Safe || !self.has_safe;
                 if trial_at <= now && s.out == 0 && spare && request.attempts.is_empty() {
                     return Some(id);
@@ -431,7 +450,7 @@
             let (wrong, at) = s.errors.get(request.class).copied().unwrap_or_default();
             // Guards against a part of a request that each of many gateways rounds up to a whole one.
             let full = filled + (1.0 - self.few()) / bound >= 1.0;
-            if silent || full || now < s.next_send {
+            if silent || full || now < s.next_send || self.cold_part(now, s) == Some(0.0) {
                 continue;
             }
             if wrong - errors > ERROR_PART {
@@ -441,17 +460,12 @@
                 continue;
             }
             // Guards against filling the rest with a class that a server takes which fails another one.
-            let left_out = s.errors.iter().any(|e| e.0 > ERROR_PART);
-            let free = if left_out { LEFT_OUT_LEAN } else { 1.0 };
+            let free = if s.errors.iter().any(|e| e.0 > ERROR_PART) { LEFT_OUT_LEAN } else { 1.0 };
             // Guards against a handshake for each request, where idle connections close soon.
             let warm = if now - s.heard_at < self.settings.idle_ms { 1.0 } else { NOT_WARM };
-            let weight = warm
-                * free
-                * self.weight(now, s, mean)
-                * (1.0 - filled)
-                * s.squeeze
-                * ((1.0 - Self::fault(now, s.fail, fault, half)) * (1.0 - wrong)).powi(FAULT_POWER)
-                / (1.0 + HELD_FULL * s.crowd);
+            let healthy = (1.0 - Self::fault(now, s.fail, fault, half)) * (1.0 - wrong);
+            let weight = warm * free * self.weight(now, s, mean) * (1.0 - filled) * s.squeeze;
+            let weight = weight * healthy.powi(FAULT_POWER) / (1.0 + HELD_FULL * s.crowd);
             if s.listed.zone == self.settings.zone {
                 spare |= filled < SPILL;
                 own.push((id, weight));
@@ -561,8 +575,6 @@
         let Some(mut request) = self.requests.remove(&id) else { return true };
         let picked = self.pick(now, &request);
         if let Some(server) = picked {
-            // Guards against a jam: what is given up goes on at its server, and its repeat adds to that.
-            let until = request.end;
             let pace = self.fleet.servers.get(&server).map_or(0.0, |s| self.pace(now, s));
             if let Some(s) = self.fleet.servers.get_mut(&server) {
                 let home = (s.listed.zone, s.listed.cell);
@@ -571,12 +583,11 @@
                 s.out += 1;
                 s.sent.add(now);
                 s.next_send = now + pace;
-                if let Some(errors) = s.errors.get_mut(request.class) {
-                    errors.1 = now;
-                }
+                s.errors.get_mut(request.class).into_iter().for_each(|errors| errors.1 = now);
                 s.ejected = s.ejected.map(|(_, wait)| (now + wait, wait));
             }
-            actions.push(Action::Send { request: id, server, until });
+            // Guards against a jam: what is given up goes on at its server, and its repeat adds to that.
+            actions.push(Action::Send { request: id, server, until: request.end });
         }
         self.requests.insert(id, request);
         picked.is_some()
@@ -730,39 +741,40 @@
         if kind != ListKind::Changes {
             self.fleet.servers.values_mut().for_each(remove);
         }
-        let pace = self.pace(now, &Server { young_since: now, ..Server::default() });
-        let (mut new, mut moved) = (Vec::new(), kind != ListKind::Changes);
+        let mut moved = kind != ListKind::Changes;
         for member in members {
             let young = member.started_at > 0.0 && now - member.started_at < self.settings.cold_ms;
-            let mut fresh = false;
-            let s = self.fleet.servers.entry(member.server).or_insert_with(|| {
-                fresh = true;
-                let next_probe = now + PROBE_MS * self.rng.rand_float();
-                Server { quiet_since: now, heard_at: now, squeeze: 1.0, next_probe, ..Server::default() }
-            });
-            if member.readiness == Readiness::Left && !fresh {
+            let id = member.server;
+            if let (Readiness::Left, Some(s)) = (member.readiness, self.fleet.servers.get_mut(&id)) {
                 moved = true;
                 remove(s);
                 continue;
             }
+            let known = self.fleet.servers.remove(&id);
+            moved |= known.as_ref().is_none_or(|s| s.listed.readiness != member.readiness);
+            let mut s = known.unwrap_or_else(|| {
+                let next_probe = now + PROBE_MS * self.rng.rand_float();
+                Server { quiet_since: now, heard_at: now, squeeze: 1.0, next_probe, ..Server::default() }
+            });
             s.unlisted = None;
             s.proven |= kind == ListKind::WarmCopy;
-            moved |= fresh || s.listed.readiness != member.readiness;
-            if fresh || s.listed.readiness != Readiness::Active {
-                new.push(member.server);
+            if member.weight > 0.0 && member.weight.is_finite() {
+                let live = self.settings.live_weights;
+                s.nominal = member.weight.max(if live { s.nominal } else { 0.0 });
+                let crowd = (s.nominal / member.weight - 1.0) / HELD_FULL;
+                s.crowd += if live { CROWD_GAIN * (crowd.min(9.0) - s.crowd) } else { 0.0 };
             }
-            if young && member.started_at > s.young_since {
+            // Guards against a list that goes back to an earlier start, and one that is ahead of the clock.
+            let last_start = s.listed.started_at;
+            s.listed = Member { started_at: member.started_at.max(last_start), ..member };
+            if young && s.listed.started_at > last_start {
                 (s.young_since, s.fail.0, s.ejected, s.weight, s.capacity) =
-                    (member.started_at, 0.0, None, None, None);
+                    (s.listed.started_at.min(now), 0.0, None, None, None);
                 // Guards against all gateways' first requests at once: they spread over the first pace.
-                s.next_send = now + pace.min(self.settings.cold_ms) * self.rng.rand_float();
-            }
-            if self.settings.live_weights && member.weight > 0.0 && member.weight.is_finite() {
-                s.nominal = s.nominal.max(member.weight);
-                let crowd = (s.nominal / member.weight - 1.0) / HELD_FULL;
-                s.crowd += CROWD_GAIN * (crowd.min(9.0) - s.crowd);
+                s.next_send = now + self.pace(now, &s) * self.rng.rand_float();
+                moved = true;
             }
-            s.listed = member;
+            self.fleet.servers.insert(id, s);
         }
         if moved {
             // A server that left goes once nothing of this gateway's is out there.
@@ -770,7 +782,7 @@
                 let kept = s.unlisted.is_none_or(|since| now - since.max(s.heard_at) < UNLISTED_MS);
                 (kept && s.listed.readiness != Readiness::Left) || s.out > 0
             });
-            self.follow(&new);
+            self.follow(now);
         }
         self.learn_spill(now);
         self.release_held(now, actions);
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -938,3 +938,83 @@
     fill(&mut bench);
     assert!(refused(&ask(&mut bench, 190.0)).is_none(), "this one may be held");
 }
+
+/// What reaches a server in each second, from all gateways, each with a request every 100 ms.
+fn sent_to(server: u32, fleet: &mut [Bench], seconds: u32) -> Vec<u32> {
+    let mut second = |bench: &mut Bench| -> u32 {
+        let mut serve = || {
+            bench.wake(100.0);
+            u32::from(bench.serve(&|_| report(20.0, 0.5)) == Some(ServerId(server)))
+        };
+        (0..10).map(|_| serve()).sum()
+    };
+    (0..seconds).map(|_| fleet.iter_mut().map(&mut second).sum()).collect()
+}
+
+#[test]
+fn the_first_servers_of_a_zone_that_is_back_are_shared_by_few() {
+    // A zone was gone from the list; the first of its servers is back, and all gateways see but this one there.
+    let back = |servers: u32, started_at: f64| -> Vec<Member> {
+        (0..servers).map(|n| Member { place: u64::from(n) << 40, started_at, ..member(n) }).collect()
+    };
+    for gateways in [2, 60, 300] {
+        let mut fleet: Vec<Bench> = (0..gateways)
+            .map(|me| {
+                let mut s = settings();
+                (s.instances, s.me, s.cold_share, s.cold_ms, s.tip_multiple) =
+                    (gateways, me, 0.3, 9000.0, 3.0);
+                let mut bench = Bench::new(s, 0);
+                let far = (100..160).map(|n| Member { zone: 1, ..member(n) }).collect();
+                bench.list(ListKind::Whole, far);
+                for _ in 0..20 {
+                    bench.serve(&|_| report(20.0, 0.5));
+                }
+                bench.list(ListKind::Changes, back(1, bench.now));
+                bench
+            })
+            .collect();
+        // It carries 40 a second when warm, and from 12 up now: the rule allows three times that.
+        let sent = sent_to(0, &mut fleet, 3);
+        assert!(sent.iter().all(|n| *n < 36), "{gateways} gateways: {sent:?}");
+        assert!(sent.iter().sum::<u32>() > 5, "{gateways} gateways leave it without work: {sent:?}");
+    }
+}
+
+#[test]
+fn a_start_told_backwards_or_ahead_of_the_clock_neither_warms_nor_chills() {
+    let at =
+        |started_at: f64| vec![Member { started_at, ..member(0) }, Member { place: 1 << 63, ..member(1) }];
+    let paced = |lists: &[f64]| -> u32 {
+        let mut s = settings();
+        (s.cold_share, s.cold_ms) = (0.1, 8000.0);
+        let mut bench = Bench::new(s, 2);
+        bench.now = 100_000.0;
+        for _ in 0..40 {
+            bench.serve(&|_| report(100.0, 0.5));
+        }
+        for started_at in lists {
+            bench.list(ListKind::Whole, at(*started_at));
+        }
+        let mut served = 0;
+        for _ in 0..100 {
+            served += u32::from(bench.serve(&|_| report(100.0, 0.5)) == Some(ServerId(0)));
+            bench.wake(10.0);
+        }
+        served
+    };
+    let (warm, cold) = (paced(&[0.0]), paced(&[99_900.0]));
+    assert!(cold * 3 < warm, "{cold} while cold, {warm} while warm");
+    for older in [0.0, -5.0, 50_000.0] {
+        assert_eq!(paced(&[99_900.0, older]), cold, "a list that goes back to {older} makes nothing warm");
+    }
+    for wrong in [-1.0, -1e300, f64::NAN] {
+        assert_eq!(paced(&[wrong]), warm, "a start at {wrong} is long ago");
+    }
+    // One ahead of the clock counts as now: it is cold, and warm once its time has passed.
+    assert!(paced(&[1e15]) * 3 < warm);
+    let mut bench = Bench::new(settings(), 2);
+    bench.list(ListKind::Whole, at(1e15));
+    bench.now += 30_000.0;
+    let served = (0..100).filter(|_| bench.serve(&|_| report(100.0, 0.5)) == Some(ServerId(0))).count();
+    assert!(served > 20, "{served} of 100: it is warm by now");
+}
