Use listed sizes for cold hosts only, and thin out trials only at hosts that are silent

A crowded host that answers late is no lost one, and needs its trials; and the size that a list tells is too rough for what a warm host may hold before it has reported (`bound`).

Change: `bound` takes the mean again; trials get rarer only where nothing has been heard for the longest wait. What a host bears cold still goes by its listed size.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -154,11 +154,10 @@
     /// The design's weight, in requests a second; equal ones if no server has reported.
     fn weight(&self, now: f64, s: &Server, mean: f64) -> f64 {
         let cold = mean * self.warmth(now, s);
-        let told = if self.settings.live_weights { self.size(s) } else { 1.0 };
-        s.weight.unwrap_or(cold * told).max(WEIGHT_FLOOR * cold).max(1e-6)
+        s.weight.unwrap_or_else(|| cold * self.size(s)).max(WEIGHT_FLOOR * cold).max(1e-6)
     }
 
-    /// A server's listed size by the mean of those in use: until it has reported.
+    /// A server's listed size by the mean of those in use, where weights are live: until it has reported.
     fn size(&self, s: &Server) -> f64 {
         let mean = if s.nominal > 0.0 { self.fleet.mean(|s| Some(s.nominal)) } else { None };
         mean.map_or(1.0, |mean| s.nominal / mean)
@@ -175,7 +174,9 @@
     /// or reports say it can carry, by the part of it that a slower kind, handshakes and chance leave.
     fn pace(&self, now: f64, s: &Server) -> f64 {
         let Some(mine) = self.cold_part(now, s) else { return 0.0 };
-        let by_age = self.mean_capacity().max(1.0) * self.size(s) * self.warmth(now, s);
+        let told = |s: &Server| Some(s.nominal.max(s.listed.weight)).filter(|w| *w > 0.0 && w.is_finite());
+        let size = told(s).zip(self.fleet.mean(told)).map_or(1.0, |(size, mean)| size / mean);
+        let by_age = self.mean_capacity().max(1.0) * size * self.warmth(now, s);
         let part = (COLD_PART * self.settings.tip_multiple).min(1.0) * mine;
         let carries = (by_age + s.capacity.unwrap_or(0.0).min(by_age)) * part;
         (1000.0 / carries.max(1e-3)).min(self.settings.cold_ms)
@@ -436,7 +437,8 @@
                 // Half-open trial: one request that may be repeated shows whether the server is back. Guards
                 // against as many times the trials at a lost server as all gateways use stand-ins for it.
                 let used = self.fleet.used[usize::from(s.listed.zone != self.settings.zone)].len() as f64;
-                let trial_at = trial_at + wait * (used / wanted - 1.0).max(0.0);
+                let lost = f64::from(u8::from(now - s.heard_at > MAX_EJECT_AIMS * self.aim));
+                let trial_at = trial_at + lost * wait * (used / wanted - 1.0).max(0.0);
                 let spare = class.effect == Effect::Safe || !self.has_safe;
                 if trial_at <= now && s.out == 0 && spare && request.attempts.is_empty() {
                     return Some(id);
@@ -509,7 +511,6 @@
         let end = now + patience_ms.min(useful) - 1.5 * self.settings.tick_ms;
         self.retries = (self.retries + RETRY_PART).min(RETRY_BURST);
         self.probes = (self.probes + PROBE_PART).min(RETRY_BURST);
-        let most = self.settings.max_retry_after_ms;
         // Guards against a crowd of which a gateway sees little, and a squeeze with less than one to cut.
         let crowded = self.fleet.mean(|s| Some(s.crowd)).unwrap_or(0.0) - 1.0;
         let mean = self.mean_capacity();
@@ -520,9 +521,9 @@
         let refusal = match tenant.and_then(|t| self.over_limit(now, t, full)) {
             Some(retry_after) => Some((Cause::OverLimit, retry_after)),
             None if self.rng.rand_float() < crowded.max(1.0 - kept.unwrap_or(1.0)).max(stalls) => {
-                Some((Cause::NoRoom, most))
+                Some((Cause::NoRoom, f64::INFINITY))
             }
-            None => (worthless && fill >= LATE_ROOM).then_some((Cause::TooLate, most)),
+            None => (worthless && fill >= LATE_ROOM).then_some((Cause::TooLate, f64::INFINITY)),
         };
         if let Some((cause, retry_after)) = refusal {
             return self.refuse(id, cause, retry_after, actions);
@@ -758,11 +759,10 @@
             });
             s.unlisted = None;
             s.proven |= kind == ListKind::WarmCopy;
-            if member.weight > 0.0 && member.weight.is_finite() {
-                let live = self.settings.live_weights;
-                s.nominal = member.weight.max(if live { s.nominal } else { 0.0 });
+            if self.settings.live_weights && member.weight > 0.0 && member.weight.is_finite() {
+                s.nominal = s.nominal.max(member.weight);
                 let crowd = (s.nominal / member.weight - 1.0) / HELD_FULL;
-                s.crowd += if live { CROWD_GAIN * (crowd.min(9.0) - s.crowd) } else { 0.0 };
+                s.crowd += CROWD_GAIN * (crowd.min(9.0) - s.crowd);
             }
             // Guards against a list that goes back to an earlier start, and one that is ahead of the clock.
             let last_start = s.listed.started_at;
--- a/src/state.rs
+++ b/src/state.rs
@@ -8,7 +8,7 @@
 pub(crate) struct Server {
     pub listed: Member,
     pub weight: Option<f64>, // The design's: smoothed reported throughput over utilisation, a second.
-    pub nominal: f64,        // Its size, as listed; the greatest weight that a live list gave it.
+    pub nominal: f64,        // The greatest weight that a live list gave it.
     pub crowd: f64,          // What all gateways have there, by what may be: by live weights or backlog.
     pub capacity: Option<f64>, // The same without the floor: an idle server must not look small.
     pub last_report: Report,
