Probe hosts where the settings permit it: where they report only then, all ran blind

Cause: the module asks for probes where `report.how` is `on_probe` and `limits.may_probe` is true, and in the simulator it gets them. The gateway dropped them: 'The settings of this front never permit a probe', decide.rs, so no weight was ever learnt there on sockets. Ruled out: the reader of reports (it takes both deployments' names).

Change: a probe is `GET /status/load` over the pool's connections, within the budget of descriptors, one at a time for a host and given up after the shortest aim.

--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -3,10 +3,12 @@
 use crate::answer::Answer;
 use crate::clock::Clock;
 use crate::inventory::{Inventory, News, State};
-use crate::relay::{Envelope, Relay, RelayEnd, SouthSide};
+use crate::relay::{Envelope, Errand, Relay, RelayEnd, SouthSide};
+use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use ternstack::{
     Action, Arrival, AttemptEnd, Balancer, Class, Effect, Event, ListKind, Member, Outcome, Readiness,
     Report, RequestId, ServerId,
@@ -31,6 +33,15 @@
     Gone(RequestId),
     /// A relay has ended.
     RelayEnd(RelayEnd),
+    /// A probe has ended.
+    Probed {
+        /// The host that was asked.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// What the host told of its load.
+        report: Report,
+    },
     /// Discovery has been heard, or lost.
     Inventory(News),
 }
@@ -82,6 +93,9 @@
     life: Arc<()>,
 }
 
+/// A probe, up to the time left.
+const PROBE: &[u8] = b"GET /status/load HTTP/1.1\r\nHost: backend.local\r\nX-Time-Left-Ms: ";
+
 /// How long hosts drop repeats of a message of a class, where they do.
 fn window(class: &Class) -> Option<f64> {
     (class.effect == Effect::Keyed).then_some(class.window_ms)
@@ -105,6 +119,8 @@
     hosts: BTreeMap<ServerId, Listed>,
     last_host: u32,
     south: SouthSide,
+    probes: BTreeMap<ServerId, oneshot::Sender<()>>, // Those out; a dropped sender calls its probe off.
+    probe_for: Duration,
     watch: mpsc::Sender<()>,
     events: VecDeque<Event>,
 }
@@ -115,6 +131,8 @@
         site: Site, seed: u64, known: Inventory, south: SouthSide, watch: mpsc::Sender<()>,
     ) -> Result<Self, String> {
         let clock = Clock::start();
+        // A report that is older than what the most hurried message takes is worth nothing.
+        let aim_ms = site.balancer.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
         let mut decider = Decider {
             max_relays: site.balancer.max_attempts as usize,
             max_open: site.max_open,
@@ -132,6 +150,8 @@
             hosts: BTreeMap::new(),
             last_host: 0,
             south,
+            probes: BTreeMap::new(),
+            probe_for: Duration::from_secs_f64((aim_ms / 1000.0).clamp(0.001, 60.0)),
             watch,
             events: VecDeque::new(),
         };
@@ -166,6 +186,11 @@
             Input::Message(message) => self.message(message),
             Input::Gone(id) => self.gone(id),
             Input::RelayEnd(end) => self.relay_end(end),
+            Input::Probed { server, outcome, report } => {
+                debug!(server = server.0, ?outcome, ?report, "probed");
+                self.probes.remove(&server);
+                self.feed(Event::Probed { server, outcome, report });
+            }
             Input::Inventory(News::Lost) => {
                 self.feed(Event::List { kind: ListKind::Lost, members: Vec::new() });
             }
@@ -212,8 +237,7 @@
                 self.answer(request, Answer::Failed);
             }
             Action::Timer { at, token } => self.set(self.clock.instant(at), Due::Timer(token)),
-            // The settings of this front never permit a probe.
-            Action::Probe { server } => debug!(server = server.0, "no probe is sent"),
+            Action::Probe { server } => self.probe(server),
             // A full channel means that a watch is already wanted.
             Action::Watch => drop(self.watch.try_send(())),
             Action::Log(line) => info!("{line}"),
@@ -274,8 +298,7 @@
         if let Some((host, life)) = sent {
             let envelope = open.envelope.clone();
             self.south.start(Relay {
-                message: id,
-                number: number as u32,
+                errand: Errand::Message { id, number: number as u32 },
                 server,
                 life,
                 host,
@@ -289,6 +312,29 @@
         }
     }
 
+    /// Asks a host for its load report, over a connection like any other relay's. Guards against a host that is
+    /// asked again while it does not answer.
+    fn probe(&mut self, server: ServerId) {
+        let host = self.hosts.get(&server).and_then(|h| Some((h.endpoint?, Arc::downgrade(&h.life))));
+        let Some((host, life)) = host.filter(|_| !self.probes.contains_key(&server)) else { return };
+        let (call_off, called_off) = oneshot::channel();
+        self.probes.insert(server, call_off);
+        self.south.start(Relay {
+            errand: Errand::Probe,
+            server,
+            life,
+            host,
+            envelope: Envelope {
+                before: Bytes::from_static(PROBE),
+                after: Bytes::from_static(b"\r\n\r\n"),
+                body: Bytes::new(),
+            },
+            until: Instant::now() + self.probe_for,
+            send_by: None,
+            called_off,
+        });
+    }
+
     fn relay_end(&mut self, end: RelayEnd) {
         let RelayEnd { message: id, number, outcome, at, report, answer } = end;
         let Some(sent) = self.open.get(&id).and_then(|open| open.relays.get(number as usize)) else {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -4,7 +4,7 @@
 //! host to close, or for its time to be up; the most recently used idle connection is taken first.
 use crate::decide::{Input, Queue};
 use crate::doors::Doors;
-use crate::http1::{Fields, Reader, Status, Whole, MAX_BODY};
+use crate::http1::{Reader, Status, Whole, MAX_BODY};
 use crate::sockets::opened;
 use bytes::{Buf, Bytes};
 use std::collections::BTreeMap;
@@ -38,13 +38,25 @@
     pub body: Bytes,
 }
 
-/// One attempt to have a message served by a south side host.
+/// What a connection is asked to carry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Errand {
+    /// A message.
+    Message {
+        /// The message.
+        id: RequestId,
+        /// The relay's number among the message's, in send order.
+        number: u32,
+    },
+    /// A question for the host's load report, where the settings permit it.
+    Probe,
+}
+
+/// One attempt to have a message served, or a probe answered, by a south side host.
 #[derive(Debug)]
 pub struct Relay {
-    /// The message.
-    pub message: RequestId,
-    /// The relay's number among the message's, in send order.
-    pub number: u32,
+    /// What it is for.
+    pub errand: Errand,
     /// The host it goes to.
     pub server: ServerId,
     /// The host's present life: it ends with its address, its start or its service.
@@ -61,7 +73,7 @@
     pub called_off: oneshot::Receiver<()>,
 }
 
-/// How a relay ended; there is exactly one for each.
+/// How a message's relay ended; there is exactly one for each.
 #[derive(Debug)]
 pub struct RelayEnd {
     /// The message.
@@ -179,12 +191,20 @@
     }
 
     async fn end(&self, relay: &Relay, outcome: Outcome, answer: Option<Whole<Status>>) {
-        let report = answer.as_ref().map(|a| read_report(&a.fields)).unwrap_or_default();
-        let (message, number, at) = (relay.message, relay.number, Instant::now());
-        let answer = answer.filter(|_| outcome == Outcome::Served);
-        let end = RelayEnd { message, number, outcome, at, report, answer };
+        let text = answer.as_ref().map(|a| match relay.errand {
+            Errand::Message { .. } => a.fields.text(LOAD).unwrap_or(""),
+            Errand::Probe => std::str::from_utf8(&a.body).unwrap_or(""),
+        });
+        let report = text.map(read_report).unwrap_or_default();
+        let input = match relay.errand {
+            Errand::Message { id: message, number } => {
+                let answer = answer.filter(|_| outcome == Outcome::Served);
+                Input::RelayEnd(RelayEnd { message, number, outcome, at: Instant::now(), report, answer })
+            }
+            Errand::Probe => Input::Probed { server: relay.server, outcome, report },
+        };
         // The queue only closes when the gateway ends.
-        let _ = self.queue.send(Input::RelayEnd(end)).await;
+        let _ = self.queue.send(input).await;
     }
 }
 
@@ -328,19 +348,25 @@
     }
 }
 
-/// Reads a load report. Guards against a module that hears nothing: hosts write a value by the settings' name
-/// (`utilization`) or by the operators' (`util`). What cannot be read is left out: a report is advice.
-fn read_report(fields: &Fields) -> Report {
+/// Reads a load report: `util=0.5,qps=20`, or the same as a JSON object, as a probe's answer may hold it.
+/// Guards against a module that hears nothing: hosts write a value by the settings' name (`utilization`) or by
+/// the operators' (`util`). What cannot be read, or is no number from 0 up, is left out: a report is advice.
+pub fn read_report(text: &str) -> Report {
     let mut report = Report::default();
-    for pair in fields.text(LOAD).unwrap_or("").split(',') {
-        let Some((name, value)) = pair.split_once('=') else { continue };
-        let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0);
-        match name.trim() {
+    let mut take = |name: &str, value: Option<f64>| {
+        let value = value.filter(|v| v.is_finite() && *v >= 0.0);
+        match name {
             "utilization" | "util" => report.utilization = value,
             "throughput" | "qps" => report.throughput = value,
             "backlog" | "queue" => report.backlog = value,
             _ => {}
         }
+    };
+    if let Ok(object) = serde_json::from_str::<serde_json::Map<String, serde_json::Value>>(text) {
+        object.iter().for_each(|(name, value)| take(name, value.as_f64()));
+    } else {
+        let pairs = text.split(',').filter_map(|pair| pair.split_once('='));
+        pairs.for_each(|(name, value)| take(name.trim(), value.trim().parse().ok()));
     }
     report
 }
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -358,3 +358,47 @@
         assert_eq!(discovery.call().await.0, call);
     }
 }
+
+#[tokio::test]
+async fn hosts_that_report_only_when_probed_are_probed_and_their_word_moves_the_weights() {
+    const BUSY: Does = Does::Answer("HTTP/1.1 200 OK\r\nContent-Length: 23\r\n\r\nutil=0.9,qps=10,queue=0");
+    const IDLE: Does = Does::Answer("HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\nutil=0.9,qps=900,queue=0");
+    let (mut small, mut large) = (Host::start(BUSY).await, Host::start(IDLE).await);
+    let discovery = Discovery::start().await;
+    let known = vec![target(1, small.at, "SERVING"), target(2, large.at, "SERVING")];
+    for may_probe in [false, true] {
+        let mut config = config(known.clone(), discovery.at);
+        config["settings"]["report"]["how"] = "on_probe".into();
+        config["settings"]["limits"]["may_probe"] = may_probe.into();
+        let gateway = Gateway::start(&config).await;
+        let mut client = gateway.client().await;
+        if may_probe {
+            // Both are asked of their own accord, before any message.
+            for host in [&mut small, &mut large] {
+                let probe = loop {
+                    if let Seen::Message(ask) = host.next().await {
+                        break ask;
+                    }
+                };
+                assert_eq!((probe.method(), probe.target()), (&b"GET"[..], &b"/status/load"[..]));
+                assert_eq!(field(&probe, "x-correlation-id"), "", "a probe is no message");
+            }
+        }
+        for n in 0..60 {
+            client.ask(&look(&format!("{may_probe}-{n}"))).await;
+        }
+        let count = |host: &mut Host| {
+            let (ids, _) = host.so_far();
+            (ids.iter().filter(|id| id.is_empty()).count(), ids.iter().filter(|id| !id.is_empty()).count())
+        };
+        let ((few_probes, few), (_, many)) = (count(&mut small), count(&mut large));
+        assert_eq!(few + many, 60);
+        if may_probe {
+            // A quarter of the mean weight is the least that a host keeps.
+            assert!(few < 20, "{few} of 60 to the small host");
+        } else {
+            assert_eq!(few_probes, 0, "probes only where the settings permit them");
+            assert!(few > 15, "{few} of 60 where nothing tells them apart");
+        }
+    }
+}
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -11,7 +11,7 @@
 use ternstack_gateway::config::Config;
 use ternstack_gateway::decide::Input;
 use ternstack_gateway::doors::Doors;
-use ternstack_gateway::relay::{Envelope, Relay, RelayEnd, SouthSide};
+use ternstack_gateway::relay::{read_report, Envelope, Errand, Relay, RelayEnd, SouthSide};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -45,11 +45,12 @@
             after: Bytes::from_static(b"\r\n\r\n"),
             body: Bytes::new(),
         };
-        let (message, number, until) = (RequestId(7), self.number, Instant::now() + patience);
+        let errand = Errand::Message { id: RequestId(7), number: self.number };
+        let until = Instant::now() + patience;
         self.number += 1;
         let (server, life) = (ServerId(u32::from(host.port())), std::sync::Arc::downgrade(&self.life));
         let send_by = self.send_by;
-        self.side.start(Relay { message, number, server, life, host, envelope, until, send_by, called_off });
+        self.side.start(Relay { errand, server, life, host, envelope, until, send_by, called_off });
         call_off
     }
 
@@ -354,3 +355,22 @@
     std::io::Read::read_to_string(&mut &theirs, &mut read).expect("read");
     assert_eq!(read, "relay");
 }
+
+#[test]
+fn a_report_is_read_in_either_form_and_what_is_absurd_is_left_out() {
+    let whole = Report { utilization: Some(0.61), throughput: Some(12.0), backlog: Some(2.0) };
+    for text in [
+        "util=0.61,qps=12,queue=2",
+        " utilization = 0.61 , throughput=12.0, backlog=2,inflight=7",
+        r#"{"util":0.61,"qps":12,"queue":2,"novel":{"a":[]}}"#,
+    ] {
+        assert_eq!(read_report(text), whole, "{text}");
+    }
+    for value in ["", "-1", "NaN", "inf", "-inf", "1e999", "0x3", "many", "null", "\u{0}"] {
+        let pairs = format!("util={value},qps={value},queue={value}");
+        let json = format!(r#"{{"util":{value:?},"qps":{value:?},"queue":{value:?}}}"#);
+        for text in [pairs, json, value.to_string()] {
+            assert_eq!(read_report(&text), Report::default(), "{text}");
+        }
+    }
+}
