Give a cold host work where nothing reports, and count it among the hosts in use

Cause: where hosts report nothing, or by probe only and none has come yet, no capacity is known, and pace() took one message a second (`mean_capacity().max(1.0)`), shared by all gateways: of 200 a second over four hosts a cold one was sent 1 in 4 s, and 195 in the same time when warm.

Change: without reports a host is taken to carry what the mean one is sent; a shared cold host counts as one in use. The number of gateways is three times `USERS`, as the most that share any host.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -42,7 +42,6 @@
 const MAX_EJECT_AIMS: f64 = 5.0;
 const UNLISTED_MS: f64 = 60_000.0; // So long a server that the list no longer has is kept without an answer.
 const COLD_AFTER_MS: f64 = 8000.0; // A server back after so long a silence counts as cold.
-const COLD_USERS: f64 = 12.0; // So many gateways share a cold server; a small fleet's all do.
 const COLD_PART: f64 = 0.25; // Slow start uses this part of the multiple at which a cold server falls over.
 const SILENT_AFTER: f64 = 3.0; // Typical latencies after which an attempt or a server counts as silent.
 const RETRY_PART: f64 = 0.15; // Further attempts may be this part of the first ones, plus RETRY_BURST.
@@ -176,9 +175,11 @@
         let Some(mine) = self.cold_part(now, s) else { return 0.0 };
         let told = |s: &Server| Some(s.nominal.max(s.listed.weight)).filter(|w| *w > 0.0 && w.is_finite());
         let size = told(s).zip(self.fleet.mean(told)).map_or(1.0, |(size, mean)| size / mean);
-        let by_age = self.mean_capacity().max(1.0) * size * self.warmth(now, s);
-        let part = (COLD_PART * self.settings.tip_multiple).min(1.0) * mine;
-        let carries = (by_age + s.capacity.unwrap_or(0.0).min(by_age)) * part;
+        // Where nothing reports, a server carries what the mean one is sent.
+        let sent = self.fleet.mean(|s| Some(s.sent.per_s(now) / self.share)).unwrap_or(0.0);
+        let by_age = self.fleet.mean(|s| s.capacity).unwrap_or(sent).max(1.0) * size * self.warmth(now, s);
+        let carries = (by_age + s.capacity.unwrap_or(0.0).min(by_age)) * mine;
+        let carries = carries * (COLD_PART * self.settings.tip_multiple).min(1.0);
         (1000.0 / carries.max(1e-3)).min(self.settings.cold_ms)
     }
 
@@ -187,9 +188,10 @@
     /// Guards against a share by the mean number of users, which a zone that comes back multiplies.
     fn cold_part(&self, now: f64, s: &Server) -> Option<f64> {
         let all = f64::from(self.settings.instances);
-        let users = COLD_USERS.max(2.0 * FEW * all / self.fleet.size().max(1) as f64).min(all);
-        let on_ring = s.listed.place.wrapping_mul(0x9e37_79b9_7f4a_7c15) as f64 / 2f64.powi(64);
-        let at = (f64::from(self.settings.me) * 0.618_033_988_75 - on_ring).rem_euclid(1.0);
+        let users = (3.0 * USERS).max(2.0 * FEW * all / self.fleet.size().max(1) as f64).min(all);
+        let at =
+            (u64::from(self.settings.me).wrapping_sub(s.listed.place)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let at = at as f64 / 2f64.powi(64);
         (self.warmth(now, s) < 1.0).then(|| f64::from(u8::from(at * all < users)) / users)
     }
 
@@ -387,11 +389,11 @@
             }
             let (row, used) = (&self.fleet.rows[side], &self.fleet.used[side]);
             let part = |id: &ServerId| self.cold_part(now, &self.fleet.servers[id]);
+            let mine = row.iter().filter(|id| part(id) > Some(0.0) && !used.contains(id));
+            let used: Vec<_> = used.iter().chain(mine).copied().collect();
             let fit = |id: &&ServerId| part(id) != Some(0.0) && self.fleet.servers[id].ejected.is_none();
             let mut fit = used.iter().filter(fit).count();
-            let mine = |id: &&ServerId| part(id).is_some_and(|p| p > 0.0) && !used.contains(id);
-            let mine: Vec<_> = row.iter().filter(mine).copied().collect();
-            self.fleet.used[side].extend(mine);
+            self.fleet.used[side] = used;
             while fit < wanted && self.widen(now, side).is_some() {
                 fit += 1;
             }
@@ -419,7 +421,6 @@
         let errors = self.least_errors(request.class);
         let typical = self.latency.iter().copied().fold(0.0, f64::max);
         let ran = request.ran();
-        let wanted = self.wanted() as f64;
         let (mut own, mut far, mut spare) = (Vec::new(), Vec::new(), false);
         let keyed = class.effect == Effect::Keyed && class.group != Group::All && ran.is_some();
         for &id in if keyed { &self.fleet.rows } else { &self.fleet.used }.iter().flatten() {
@@ -438,7 +439,7 @@
                 // against as many times the trials at a lost server as all gateways use stand-ins for it.
                 let used = self.fleet.used[usize::from(s.listed.zone != self.settings.zone)].len() as f64;
                 let lost = f64::from(u8::from(now - s.heard_at > MAX_EJECT_AIMS * self.aim));
-                let trial_at = trial_at + lost * wait * (used / wanted - 1.0).max(0.0);
+                let trial_at = trial_at + lost * wait * (used / self.wanted() as f64 - 1.0).max(0.0);
                 let spare = class.effect == Effect::Safe || !self.has_safe;
                 if trial_at <= now && s.out == 0 && spare && request.attempts.is_empty() {
                     return Some(id);
@@ -650,8 +651,7 @@
     /// Ends a request unserved: refused where that promise is true, else failed.
     fn end(&mut self, id: RequestId, cause: Cause, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.remove(&id) else { return };
-        let ran = request.ran().is_some();
-        if self.settings.classes[request.class].may_refuse(ran) {
+        if self.settings.classes[request.class].may_refuse(request.ran().is_some()) {
             // Its worth is gone: the client should not come back soon.
             self.refuse(id, cause, self.settings.max_retry_after_ms, actions);
         } else {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1018,3 +1018,22 @@
     let served = (0..100).filter(|_| bench.serve(&|_| report(100.0, 0.5)) == Some(ServerId(0))).count();
     assert!(served > 20, "{served} of 100: it is warm by now");
 }
+
+#[test]
+fn where_nothing_reports_a_cold_server_gets_work_by_what_the_others_are_sent() {
+    let mut s = settings();
+    (s.reports, s.cold_share, s.cold_ms, s.tip_multiple) = (Reports::Off, 0.3, 8000.0, 3.0);
+    let mut bench = Bench::new(s, 4);
+    let sent = |bench: &mut Bench| -> u32 {
+        let mut serve = || {
+            bench.wake(5.0);
+            u32::from(bench.serve(&|_| Report::default()) == Some(ServerId(0)))
+        };
+        (0..800).map(|_| serve()).sum()
+    };
+    // 200 a second over four servers; in its first 4 s a cold one is warm by 0.3 to 0.65.
+    let warm = sent(&mut bench);
+    bench.list(ListKind::Changes, vec![Member { started_at: bench.now, ..member(0) }]);
+    let cold = sent(&mut bench);
+    assert!(cold * 8 > warm && cold * 2 < warm, "{cold} while cold, {warm} while warm");
+}
