Take lists of up to 4 MiB: 1,024 hosts with long names went over the limit of 1 MiB

Cause: MAX_LIST in inventory.rs is a cap by bytes; 1,500 hosts with names of 600 bytes make 1.4 MB, and each such list counted as a failed call ('/v1/endpoints?after=41' again), so the gateway kept its old one for good. Change: 4 MiB, which is 4 KiB for each of 1,024 hosts. The buffer grows by what comes.

--- a/gateway/src/inventory.rs
+++ b/gateway/src/inventory.rs
@@ -21,8 +21,8 @@
 const GRACE: Duration = Duration::from_millis(3_500);
 /// The pause after an answer that came at once and told nothing; a watch breaks after 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
-/// The most bytes of a list: far more than any fleet needs, far less than the memory.
-const MAX_LIST: usize = 1 << 20;
+/// The most bytes of a list: 4 KiB for each of 1,024 hosts, an eighth of the least memory. It is read as it comes.
+const MAX_LIST: usize = 1 << 22;
 
 /// What discovery says of a south side host's readiness.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- a/gateway/tests/gateway.rs
+++ b/gateway/tests/gateway.rs
@@ -402,3 +402,43 @@
         }
     }
 }
+
+#[tokio::test]
+async fn lists_of_fifteen_hundred_hosts_with_long_names_are_followed_in_every_form() {
+    const HOSTS: usize = 1500;
+    let (first, second, third) =
+        (Host::start(SERVED).await, Host::start(SERVED).await, Host::start(SERVED).await);
+    let many = |at: std::net::SocketAddr, state: &str| -> Vec<serde_json::Value> {
+        let named = |n: usize| {
+            let mut target = target(n, at, state);
+            target["uid"] = format!("{n}-{}", "long-name.".repeat(60)).into();
+            target["az"] = "a".repeat(200).into();
+            target
+        };
+        (0..HOSTS).map(named).collect()
+    };
+    let mut discovery = Discovery::start().await;
+    let mut config = config(many(first.at, "SERVING"), discovery.at);
+    config["settings"]["instances"] = 1024.into();
+    config["settings"]["me"] = 1023.into();
+    let gateway = Gateway::start(&config).await;
+    let served_by = |host: &mut Host| host.so_far().0.len();
+    let [mut first, mut second, mut third] = [first, second, third];
+    assert_eq!(gateway.client().await.ask(&look("known")).await.start.0, 200);
+    assert_eq!(served_by(&mut first), 1);
+
+    let whole = list(42, true, many(second.at, "SERVING"));
+    assert!(whole.to_string().len() > 1 << 20, "more than a mebibyte");
+    let (_, answer) = discovery.call().await;
+    answer.send(ok(&whole)).expect("asked");
+    let (query, answer) = discovery.call().await;
+    assert!(query.contains("after=42"), "{query}");
+    assert_eq!(gateway.client().await.ask(&look("whole")).await.start.0, 200);
+    assert_eq!((served_by(&mut first), served_by(&mut second)), (0, 1));
+
+    answer.send(ok(&list(43, false, many(third.at, "SERVING")))).expect("asked");
+    let (query, _answer) = discovery.call().await;
+    assert!(query.contains("after=43"), "{query}");
+    assert_eq!(gateway.client().await.ask(&look("changes")).await.start.0, 200);
+    assert_eq!((served_by(&mut second), served_by(&mut third)), (0, 1));
+}
