Look at warmth first: the ring of a warm host is no longer worked out at each pick

Cause: cold_part() worked out how many gateways share a host, and this one's place, for every host at every pick, and only then looked whether the host is cold at all; most are warm. Change: warmth is looked at first. No behaviour changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -187,12 +187,12 @@
     /// next to the server on a ring, share it, and others leave it alone until it is warm; then `None`.
     /// Guards against a share by the mean number of users, which a zone that comes back multiplies.
     fn cold_part(&self, now: f64, s: &Server) -> Option<f64> {
-        let all = f64::from(self.settings.instances);
-        let users = (3.0 * USERS).max(2.0 * FEW * all / self.fleet.size().max(1) as f64).min(all);
-        let at =
-            (u64::from(self.settings.me).wrapping_sub(s.listed.place)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let at = at as f64 / 2f64.powi(64);
-        (self.warmth(now, s) < 1.0).then(|| f64::from(u8::from(at * all < users)) / users)
+        (self.warmth(now, s) < 1.0).then(|| {
+            let (me, all) = (u64::from(self.settings.me), f64::from(self.settings.instances));
+            let users = (3.0 * USERS).max(2.0 * FEW * all / self.fleet.size().max(1) as f64).min(all);
+            let at = me.wrapping_sub(s.listed.place).wrapping_mul(0x9e3779b97f4a7c15) as f64 / 2f64.powi(64);
+            f64::from(u8::from(at * all < users)) / users
+        })
     }
 
     /// How much this gateway may have out at a server: its part of what drains within QUEUE_PART of an aim.
