Let what is sent run to its client's end: giving up at the aim fed the jam

Cause: in a full fleet four in five relays were given up at their aim (`to_the_end`, `useful` in on_request). What is given up goes on at its host, and the client comes again: heavy work was done up to four times and earned nothing. Change: a relay runs to its client's end; only what is not sent yet waits no longer than its answer earns something (`useful`).

--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -146,8 +146,16 @@
 
 /// What the module's first runs of a shipped experiment found, by seed.
 fn findings(name: &str, seeds: u32) -> Vec<(u64, Findings)> {
+    findings_at(name, seeds, None)
+}
+
+/// The same with other numbers of gateways and hosts.
+fn findings_at(name: &str, seeds: u32, size: Option<(u32, u32)>) -> Vec<(u64, Findings)> {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("experiments/{name}.toml"));
     let mut experiment = Experiment::load(&path).expect("a sound file");
+    if let Some(size) = size {
+        (experiment.world.gateways, experiment.world.hosts) = size;
+    }
     assert!(experiment.only("module"));
     experiment.seeds = seeds;
     let (results, _) = experiment.run(2, &|| ()).expect("it plays");
@@ -174,6 +182,18 @@
     }
 }
 
+#[test]
+fn heavy_work_that_outlasts_its_aim_is_not_done_again_until_a_burst_becomes_a_jam() {
+    // What was given up at its aim went on at its host and was sent anew by its client: 0.60 to 0.66 with 90
+    // gateways, 0.46 to 0.66 with 40.
+    for (size, least) in [((90, 60), 0.69), ((40, 20), 0.6)] {
+        let found = findings_at("mass-choke", 3, Some(size));
+        let mean = found.iter().map(|(_, f)| f.service).sum::<f64>() / found.len() as f64;
+        assert!(mean > least, "{size:?}: {mean}");
+        assert!(found.iter().all(|(_, f)| f.broken.is_empty()), "{size:?}");
+    }
+}
+
 #[test]
 fn a_comparison_calls_noise_noise() {
     let base: Vec<f64> = (0..20).map(|n| 0.8 + 0.01 * f64::from(n % 5)).collect();
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -503,13 +503,12 @@
         let age = self.age(class, tenant, patience_ms);
         let c = &self.settings.classes[class];
         let late = age + self.latency[class].min(c.aim_ms / 2.0) > c.aim_ms;
-        // A late answer's part of the worth is the chance that a full fleet takes the time for it.
-        let to_the_end =
-            late || self.rng.rand_float() < if full || c.late_value <= 0.0 { c.late_value } else { 1.0 };
-        let useful = if to_the_end { f64::INFINITY } else { c.aim_ms - age };
         let worthless = late && self.rng.rand_float() >= c.late_value
             || full && patience_ms < (2.0 * self.latency[class]).min(c.aim_ms / 2.0);
-        let end = now + patience_ms.min(useful) - 1.5 * self.settings.tick_ms;
+        // Guards against a jam: what is sent runs to its client's end: given up, it goes on at its server,
+        // and its client comes again. What is not sent waits only as long as its answer earns something.
+        let end = now + patience_ms - 1.5 * self.settings.tick_ms;
+        let useful = if late { end } else { end.min(now + c.aim_ms - age) };
         self.retries = (self.retries + RETRY_PART).min(RETRY_BURST);
         self.probes = (self.probes + PROBE_PART).min(RETRY_BURST);
         // Guards against a crowd of which a gateway sees little, and a squeeze with less than one to cut.
@@ -529,7 +528,7 @@
         if let Some((cause, retry_after)) = refusal {
             return self.refuse(id, cause, retry_after, actions);
         }
-        let request = Request { class, tenant, end, attempts: Vec::new() };
+        let request = Request { class, tenant, useful, end, attempts: Vec::new() };
         self.requests.insert(id, request);
         if !self.held.is_empty() || !self.dispatch(now, id, actions) {
             self.hold(now, id, actions);
@@ -559,7 +558,8 @@
     /// Guards against a client gone before the next wake: its patience may be shorter than that.
     fn hold(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if now + self.latency[request.class].max(2.0 * WAKE_MS) > request.end || !self.may_repeat(now, id) {
+        if now + self.latency[request.class].max(2.0 * WAKE_MS) > request.useful || !self.may_repeat(now, id)
+        {
             self.end(id, Cause::NoRoom, actions);
         } else {
             self.held.push(id);
@@ -625,7 +625,7 @@
             return;
         }
         let more = (request.attempts.len() as u32) < self.settings.max_attempts && self.retries >= 1.0;
-        let in_time = now + 0.5 * self.latency[class] < request.end;
+        let in_time = now + 0.5 * self.latency[class] < request.useful;
         if more && in_time && self.rng.rand_float() < blame && self.may_repeat(now, id) {
             self.retries -= 1.0;
             if !self.dispatch(now, id, actions) {
@@ -671,10 +671,10 @@
     pub(crate) fn release_held(&mut self, now: f64, actions: &mut Vec<Action>) {
         let mut held = std::mem::take(&mut self.held);
         held.retain(|id| self.requests.contains_key(id));
-        held.sort_by(|a, b| self.requests[b].end.total_cmp(&self.requests[a].end).then(b.cmp(a)));
+        held.sort_by(|a, b| self.requests[b].useful.total_cmp(&self.requests[a].useful).then(b.cmp(a)));
         let mut misses = 0;
         for id in held {
-            let late = now + self.latency[self.requests[&id].class] > self.requests[&id].end;
+            let late = now + self.latency[self.requests[&id].class] > self.requests[&id].useful;
             if late || misses >= 4 || !self.may_repeat(now, id) || !self.dispatch(now, id, actions) {
                 misses += 1;
                 self.hold(now, id, actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,7 +40,8 @@
 pub(crate) struct Request {
     pub class: usize,
     pub tenant: Option<usize>,
-    pub end: f64, // When an answer stops being worth anything, or the client leaves.
+    pub useful: f64, // When an answer stops being worth anything.
+    pub end: f64,    // When the client leaves.
     pub attempts: Vec<Attempt>,
 }
 
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -606,37 +606,40 @@
 }
 
 #[test]
-fn a_full_fleet_seldom_takes_time_for_late_answers() {
-    let untils = |full: bool| {
+fn what_is_sent_runs_to_its_clients_end_and_what_waits_goes_at_its_aim() {
+    for late_value in [0.0, 0.2] {
         let mut s = settings();
-        s.classes[0].late_value = 0.2;
-        let mut bench = Bench::new(s, 1);
-        let mut out = Vec::new();
-        if full {
-            out = fill(&mut bench);
-        }
-        let mut untils = Vec::new();
-        for _ in 0..40 {
-            let mut actions = bench.request(0, None).1;
-            if let Some((id, to)) = out.pop() {
+        s.classes[0].late_value = late_value;
+        let mut bench = Bench::new(s, 2);
+        let mut out = fill(&mut bench);
+        let mut waits = Vec::new();
+        for n in 0..50 {
+            let (request, mut actions) = bench.request(0, None);
+            if sent(&actions).is_none() && refused(&actions).is_none() {
+                waits.push(request);
+            }
+            if let Some((id, to)) = out.pop().filter(|_| n < 40) {
                 actions.extend(bench.end(id, 0, to, Outcome::Served));
             }
             for action in actions {
                 if let Action::Send { request, server, until } = action {
-                    untils.push(until - bench.now);
+                    waits.retain(|w| *w != request);
                     out.push((request, server));
+                    assert!(until > bench.now + 500.0, "given up after {} ms", until - bench.now);
                 }
             }
-            if !full {
-                out.drain(..).for_each(|(id, to)| drop(bench.end(id, 0, to, Outcome::Served)));
+        }
+        assert!(!waits.is_empty(), "the servers are full");
+        // Nothing is answered any more: what waits is answered while that can still earn something.
+        let aim = bench.now + 200.0;
+        while bench.now < aim {
+            for action in bench.wake(5.0) {
+                let Action::Refuse { request, .. } = action else { continue };
+                waits.retain(|w| *w != request);
             }
         }
-        (untils.iter().filter(|u| **u < 201.0).count(), untils.len())
-    };
-    let (short, all) = untils(false);
-    assert!(short == 0 && all == 40, "with room all get their time: {short} of {all}");
-    let (short, all) = untils(true);
-    assert!(short * 3 > all * 2 && all > 20, "most end at the aim: {short} of {all}");
+        assert!(waits.is_empty(), "{waits:?} still wait past their aim");
+    }
 }
 
 /// One of 200 gateways has requests for a few of 100 servers, one in `every` 10 ms, for 20 s. The first of them takes
