Leave a late, busy host to the others for their turns, so that a crowd does not stay

Cause: in a large fleet a busy host that was late rested for `over * (1 / part - 1)`, by the gateway's part of what the host drains. The estimate of that part stays too large at a slow host (laboratory, mass-choke, six seconds after the burst: host 1 serves 3.8 a second at a utilisation of 0.98 and is taken for 20 a second), so 9 gateways together came back before it had rested: 107 of 200 hosts slow to the end. The laboratory's test fails with the rest as it was.

--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -184,9 +184,9 @@
 
 #[test]
 fn heavy_work_that_outlasts_its_aim_is_not_done_again_until_a_burst_becomes_a_jam() {
-    // What was given up at its aim went on at its host and was sent anew by its client: 0.60 to 0.66 with 90
-    // gateways, 0.46 to 0.66 with 40.
-    for (size, least) in [((90, 60), 0.69), ((40, 20), 0.6)] {
+    // What was given up at its aim went on at its host and was sent anew by its client: 0.46 to 0.66. Crowded hosts
+    // were not left alone for long enough to recover: 0.61 with 350 gateways, 0.74 and 0.75 with 90 and 40.
+    for (size, least) in [((350, 100), 0.7), ((90, 60), 0.77), ((40, 20), 0.785)] {
         let found = findings_at("mass-choke", 3, Some(size));
         let mean = found.iter().map(|(_, f)| f.service).sum::<f64>() / found.len() as f64;
         assert!(mean > least, "{size:?}: {mean}");
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -50,6 +50,7 @@
 const SQUEEZE_GAIN: f64 = 0.05; // A good answer gives back this.
 const GOOD_PART: f64 = 0.75; // An answer within this part of its aim is good.
 const SQUEEZE_FLOOR: f64 = 0.4; // When all servers are slow at once their cores must not stand idle.
+const TURNS: f64 = 0.7; // A gateway late at a server lets pass this part of the turns of the others there.
 const FULL_AIMS: f64 = 0.25; // A full server is left alone for this long.
 const PROBE_MS: f64 = 1500.0; // Interval of probes to a server, where reports come by probe only.
 const PROBE_PART: f64 = 0.15; // Probes may be this part of the requests, lest many gateways' load servers.
@@ -252,11 +253,11 @@
         let part = self.fleet.servers.get(&end.server).filter(busy);
         let part = part.map_or(1.0, |s| self.bound(now, s, self.mean_capacity()));
         let Some(s) = self.fleet.servers.get_mut(&end.server) else { return };
-        // Guards against parts of a request that many gateways round up to a whole one each: a busy server
-        // that takes longer than usual rests, so that on the mean of that time no more than the part is out.
-        let over = end.latency_ms - class.map_or(0.0, |class| self.latency[class]);
-        let rest = (over * (1.0 / part - 1.0)).clamp(0.0, MAX_EJECT_AIMS * aim) * (1.0 - few);
-        s.next_send = s.next_send.max(now + rest);
+        // Guards against a crowd that stays, of one request from each of many gateways: what takes longer
+        // than usual at a busy server waits for that much there, so each lets the others have their turns.
+        let turns = if part < 1.0 { TURNS * (1.0 / self.share - 1.0) * (1.0 - few) } else { 0.0 };
+        let rest = turns * (end.latency_ms - class.map_or(0.0, |class| self.latency[class]));
+        s.next_send = s.next_send.max(now + rest.min(MAX_EJECT_AIMS * aim));
         if tells {
             s.fail = (Self::fault(now, s.fail, mean, half), now);
         }
@@ -505,8 +506,7 @@
         let late = age + self.latency[class].min(c.aim_ms / 2.0) > c.aim_ms;
         let worthless = late && self.rng.rand_float() >= c.late_value
             || full && patience_ms < (2.0 * self.latency[class]).min(c.aim_ms / 2.0);
-        // Guards against a jam: what is sent runs to its client's end: given up, it goes on at its server,
-        // and its client comes again. What is not sent waits only as long as its answer earns something.
+        // Guards against a jam: given up, what was sent goes on at its server while its client comes again.
         let end = now + patience_ms - 1.5 * self.settings.tick_ms;
         let useful = if late { end } else { end.min(now + c.aim_ms - age) };
         self.retries = (self.retries + RETRY_PART).min(RETRY_BURST);
