End a relay with its aim again where a late answer earns nothing

Change: where `late_value` is 0 a relay ends with what is useful, as before the mend; elsewhere it runs on. One line, driven by the setting. The first deployment's classes all have a late value, so its program acts the same.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -499,8 +499,7 @@
         }
         let fill = self.fill(now);
         let full = fill >= ROOM;
-        // Worth counts from the first try: what comes too late to earn any is served only where there is
-        // room.
+        // Worth counts from the first try: what comes too late to earn any needs room.
         let age = self.age(class, tenant, patience_ms);
         let c = &self.settings.classes[class];
         let late = age + self.latency[class].min(c.aim_ms / 2.0) > c.aim_ms;
@@ -509,6 +508,7 @@
         // Guards against a jam: given up, what was sent goes on at its server while its client comes again.
         let end = now + patience_ms - 1.5 * self.settings.tick_ms;
         let useful = if late { end } else { end.min(now + c.aim_ms - age) };
+        let end = if c.late_value > 0.0 { end } else { useful }; // A cancel may free a host of what waits.
         self.retries = (self.retries + RETRY_PART).min(RETRY_BURST);
         self.probes = (self.probes + PROBE_PART).min(RETRY_BURST);
         // Guards against a crowd of which a gateway sees little, and a squeeze with less than one to cut.
