Tell when a relay's time ends as it is now, and name what makes a held message late

Cause: the comment on a request's `end` said that the client leaves then, which is no longer so where late answers earn nothing; the check in `hold` was broken over its brace. Change: the comment is true, the condition has a name. No behaviour changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -558,8 +558,8 @@
     /// Guards against a client gone before the next wake: its patience may be shorter than that.
     fn hold(&mut self, now: f64, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        if now + self.latency[request.class].max(2.0 * WAKE_MS) > request.useful || !self.may_repeat(now, id)
-        {
+        let late = now + self.latency[request.class].max(2.0 * WAKE_MS) > request.useful;
+        if late || !self.may_repeat(now, id) {
             self.end(id, Cause::NoRoom, actions);
         } else {
             self.held.push(id);
--- a/src/state.rs
+++ b/src/state.rs
@@ -41,7 +41,7 @@
     pub class: usize,
     pub tenant: Option<usize>,
     pub useful: f64, // When an answer stops being worth anything.
-    pub end: f64,    // When the client leaves.
+    pub end: f64,    // When the client leaves, or as useful where late answers earn nothing.
     pub attempts: Vec<Attempt>,
 }
 
