--- a/gateway/src/answer.rs
+++ b/gateway/src/answer.rs
@@ -1,6 +1,6 @@
 //! Final answers, and how the platform's front words them.
 use crate::http1::Malformed;
-use crate::messages::{Answer, LOAD};
+use crate::requests::{Answer, LOAD};
 use bytes::{Bytes, BytesMut};
 use std::fmt::Write;
 
@@ -11,13 +11,13 @@
     Ready,
     /// `GET /ready` while the gateway is about to stop.
     Stopping,
-    /// A message that cannot be understood, and why.
+    /// A request that cannot be understood, and why.
     Bad(&'static str),
     /// An unknown path.
     NotFound,
     /// A method that the path does not take.
     Method,
-    /// The message came too slowly.
+    /// The request came too slowly.
     TooSlow,
     /// The body is over the limit.
     BodyTooLarge,
@@ -50,15 +50,15 @@
 }
 
 impl Answer {
-    /// Words the answer in HTTP. A host's body goes on as it came.
+    /// Words the answer in HTTP. A server's body goes on as it came.
     pub fn word(self, keep_alive: bool) -> Wording {
         let text = |text: &'static str| Bytes::from_static(text.as_bytes());
         match self {
-            Answer::Served(host) => {
-                let fields = |out: &mut BytesMut| host.fields.write_end_to_end(out, &[LOAD], &[]);
-                word("200 OK", fields, host.body, keep_alive)
+            Answer::Served(served) => {
+                let fields = |out: &mut BytesMut| served.fields.write_end_to_end(out, &[LOAD], &[]);
+                word("200 OK", fields, served.body, keep_alive)
             }
-            Answer::BackOff { retry_after_ms } => {
+            Answer::Refused { retry_after_ms } => {
                 let advice = |out: &mut BytesMut| {
                     if retry_after_ms > 0.0 {
                         let _ = write!(out, "Retry-After: {:.3}\r\n", retry_after_ms / 1000.0);
--- a/gateway/src/places.rs
+++ b/gateway/src/budget.rs
@@ -1,29 +1,29 @@
-//! Who holds a descriptor, and who gives way: one budget for clients' and hosts' connections.
+//! Who holds a descriptor, and who gives way: one budget for clients' and servers' connections.
 //!
-//! No I/O, clock or threads: [`intake`](crate::intake) and [`relay`](crate::relay) tell what happens and when, and
+//! No I/O, clock or threads: [`listener`](crate::listener) and [`upstream`](crate::upstream) tell what happens and when, and
 //! are told which connection to end. A limit on descriptors is a limit like others: what it must not do is to
 //! shut out usual clients in favour of those that say nothing, say it slowly, or keep what they do not use.
 use std::collections::{BTreeSet, HashMap};
 
-/// A client's connection, as numbered by [`Places::admit`].
+/// A client's connection, as numbered by [`Budget::admit`].
 pub type ClientId = u64;
 
 /// Each side may have at least this part of the budget, whatever the other one wants.
 const FLOOR: f64 = 0.25;
-/// Of the budget so much stays free for hosts' next connections before clients get it.
+/// Of the budget so much stays free for servers' next connections before clients get it.
 const HEADROOM: f64 = 0.125;
-/// A usual client's message follows its connection at once: one that is silent for longer goes first.
+/// A usual client's request follows its connection at once: one that is silent for longer goes first.
 const SILENT_MS: f64 = 250.0;
-/// A usual message arrives in one piece: one that takes longer gives way where places are short.
+/// A usual request arrives in one piece: one that takes longer gives way where descriptors are short.
 const SLOW_MS: f64 = 500.0;
-/// New connections, or half-read messages, may hold this part of the clients' places before the oldest of them gives
+/// New connections, or half-read requests, may hold this part of the clients' descriptors before the oldest of them gives
 /// way to another: beyond it a flood pushes out itself, and not the connections that usual clients keep.
 const CROWD_PART: f64 = 0.5;
 
 /// So much of the budget may stand idle at clients' side. Clients that ask once and keep their connection are many: they
-/// leave others none long before the gateway's own places are short (incident rfd526e).
+/// leave others none long before the gateway's own descriptors are short (incident rfd526e).
 const IDLE_PART: f64 = 0.125;
-/// Yet nobody is ended who has been idle for less: its next message may be on its way.
+/// Yet nobody is ended who has been idle for less: its next request may be on its way.
 const IDLE_LEAST_MS: f64 = 100.0;
 
 /// What a client's connection does, from its accept on.
@@ -31,30 +31,30 @@
 pub enum Doing {
     /// It has brought nothing yet.
     New,
-    /// A message has begun and is not whole.
+    /// A request has begun and is not whole.
     Reading,
-    /// A message is open, or its answer is being written.
+    /// A request is open, or its answer is being written.
     Open,
-    /// It waits for its next message.
+    /// It waits for its next request.
     Idle,
 }
 
 /// What becomes of a connection that wants in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
-    /// It has a place.
+    /// It has a descriptor.
     Taken(ClientId),
-    /// It has the place of another one, which is to be ended.
+    /// It has the descriptor of another one, which is to be ended.
     InPlaceOf(ClientId, ClientId),
-    /// There is no place, and none that would give way.
+    /// There is no descriptor, and none that would give way.
     Full,
 }
 
-/// Who holds a place. Times are milliseconds on any clock that only moves forward.
+/// Who holds a descriptor. Times are milliseconds on any clock that only moves forward.
 #[derive(Debug)]
-pub struct Places {
+pub struct Budget {
     budget: usize,
-    hosts: usize,
+    servers: usize,
     last: u64,
     doing: HashMap<ClientId, (Doing, u64)>, // And since when, in microseconds.
     order: BTreeSet<(Doing, u64, ClientId)>,
@@ -65,19 +65,19 @@
     (now.max(0.0) * 1000.0) as u64
 }
 
-impl Places {
-    /// Places for so many connections of clients and hosts together.
+impl Budget {
+    /// Room for so many connections of clients and servers together.
     pub fn new(budget: usize) -> Self {
-        Places { budget, hosts: 0, last: 0, doing: HashMap::new(), order: BTreeSet::new(), counts: [0; 4] }
+        Budget { budget, servers: 0, last: 0, doing: HashMap::new(), order: BTreeSet::new(), counts: [0; 4] }
     }
 
     fn part(&self, part: f64) -> usize {
         (self.budget as f64 * part) as usize
     }
 
-    /// How many clients may hold a place now.
+    /// How many clients may hold a descriptor now.
     pub fn clients_most(&self) -> usize {
-        let kept = (self.hosts + self.part(HEADROOM)).max(self.part(FLOOR));
+        let kept = (self.servers + self.part(HEADROOM)).max(self.part(FLOOR));
         self.budget.saturating_sub(kept).max(self.part(FLOOR)).max(1)
     }
 
@@ -163,31 +163,31 @@
         true
     }
 
-    /// Whether one more connection to a host may be opened: where the whole budget has room, and up to the hosts'
+    /// Whether one more connection to a server may be opened: where the whole budget has room, and up to the servers'
     /// floor in any case.
-    pub fn has_room_for_host(&self) -> bool {
-        self.hosts + self.clients() < self.budget || self.hosts < self.part(FLOOR)
+    pub fn has_room_for_server(&self) -> bool {
+        self.servers + self.clients() < self.budget || self.servers < self.part(FLOOR)
     }
 
-    /// Counts one more connection to a host, if there may be one.
-    pub fn open_host(&mut self) -> bool {
-        let room = self.has_room_for_host();
-        self.hosts += usize::from(room);
+    /// Counts one more connection to a server, if there may be one.
+    pub fn open_server(&mut self) -> bool {
+        let room = self.has_room_for_server();
+        self.servers += usize::from(room);
         room
     }
 
-    /// Counts a connection to a host that comes in place of another one.
-    pub fn replace_host(&mut self) {
-        self.hosts += 1;
+    /// Counts a connection to a server that comes in place of another one.
+    pub fn replace_server(&mut self) {
+        self.servers += 1;
     }
 
-    /// A connection to a host has ended.
-    pub fn close_host(&mut self) {
-        self.hosts = self.hosts.saturating_sub(1);
+    /// A connection to a server has ended.
+    pub fn close_server(&mut self) {
+        self.servers = self.servers.saturating_sub(1);
     }
 
     /// A client's connection that gives way to something else than a client: one that is silent, slow or idle,
-    /// never one with an open message.
+    /// never one with an open request.
     pub fn make_room(&mut self, now: f64) -> Option<ClientId> {
         let other = self
             .longest(Doing::New, now, SILENT_MS)
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -1,6 +1,6 @@
 //! What this gateway is told at its start: the file at `LB_CONFIG`, and the `LB_*` variables that go before
 //! it. The settings in the file are read by `ternstack-settings`, for the adapter and the gateway alike.
-use crate::messages::Inventory;
+use crate::requests::EndpointList;
 use serde_json::Value;
 use std::env;
 use std::net::SocketAddr;
@@ -23,8 +23,8 @@
     pub seed: u64,
     /// The most sockets it may hold.
     pub sockets: usize,
-    /// The warm copy of the inventory.
-    pub known: Inventory,
+    /// The warm copy of the endpoint list.
+    pub known: EndpointList,
     /// The settings.
     pub site: Site,
     /// The least severe log lines that are written.
@@ -72,8 +72,8 @@
             })?,
         };
         let known = match file.get("known") {
-            None | Some(Value::Null) => Inventory::default(),
-            Some(value) => Inventory::from_value(value).map_err(|e| format!("LB_CONFIG: known: {e}"))?,
+            None | Some(Value::Null) => EndpointList::default(),
+            Some(value) => EndpointList::from_value(value).map_err(|e| format!("LB_CONFIG: known: {e}"))?,
         };
         let settings = file.get("settings").ok_or("LB_CONFIG: settings is missing")?;
         let log = variable("LB_LOG").map_or(Ok(LevelFilter::INFO), |level| {
--- a/gateway/src/decide.rs
+++ b/gateway/src/decide.rs
@@ -1,8 +1,8 @@
-//! The one task that owns the [`Balancer`], with its clock, its timers and the open messages. All else reaches
+//! The one task that owns the [`Balancer`], with its clock, its timers and the open requests. All else reaches
 //! it through its queue. It carries out what the module decides, and decides nothing itself.
 use crate::clock::Clock;
-use crate::messages::{Answer, Envelope, Input, Inventory, Message, News, RelayEnd, State};
-use crate::relay::{Errand, Relay, SouthSide};
+use crate::requests::{Answer, AttemptDone, EndpointList, Input, News, RawRequest, Request, State};
+use crate::upstream::{Attempt, Errand, Upstream};
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -17,13 +17,13 @@
 use tokio::time::{sleep_until, Instant};
 use tracing::{debug, error, info, warn};
 
-/// A message that has no final answer yet, or still has relays out.
+/// A request that has no final answer yet, or still has attempts out.
 struct Open {
     class: usize,
     answer_to: Option<oneshot::Sender<Answer>>,
     deadline: Instant,
-    envelope: Envelope,
-    relays: Vec<Sent>,
+    raw: RawRequest,
+    attempts: Vec<Sent>,
     out: usize,
 }
 
@@ -36,10 +36,10 @@
 
 enum Due {
     Timer(u64),
-    Backstop(RequestId),
+    Deadline(RequestId),
 }
 
-/// A south side host as last listed.
+/// A server as last listed.
 struct Listed {
     uid: String,
     endpoint: Option<SocketAddr>,
@@ -50,7 +50,7 @@
 /// A probe, up to the time left.
 const PROBE: &[u8] = b"GET /status/load HTTP/1.1\r\nHost: backend.local\r\nX-Time-Left-Ms: ";
 
-/// How long hosts drop repeats of a message of a class, where they do.
+/// How long servers drop repeats of a request of a class, where they do.
 fn window(class: &Class) -> Option<f64> {
     (class.effect == Effect::Keyed).then_some(class.window_ms)
 }
@@ -59,10 +59,10 @@
 pub struct Decider {
     balancer: Balancer,
     names: Names,
-    max_relays: usize,
+    max_attempts: usize,
     max_open: usize,
     windows: Vec<Option<f64>>, // For keyed classes: how long a repeat is dropped.
-    back_off_ms: f64,
+    refusal_ms: f64,
     clock: Clock,
     now: f64,
     open: BTreeMap<RequestId, Open>,
@@ -70,9 +70,9 @@
     due: BTreeMap<(Instant, u64), Due>,
     last_due: u64,
     numbers: HashMap<String, ServerId>,
-    hosts: BTreeMap<ServerId, Listed>,
-    last_host: u32,
-    south: SouthSide,
+    servers: BTreeMap<ServerId, Listed>,
+    last_server: u32,
+    upstream: Upstream,
     probes: BTreeMap<ServerId, oneshot::Sender<()>>, // Those out; a dropped sender calls its probe off.
     probe_for: Duration,
     watch: mpsc::Sender<()>,
@@ -82,16 +82,16 @@
 impl Decider {
     /// A module that has been given the warm copy. `watch` takes its wishes to hear from discovery.
     pub fn new(
-        site: Site, seed: u64, known: Inventory, south: SouthSide, watch: mpsc::Sender<()>,
+        site: Site, seed: u64, known: EndpointList, upstream: Upstream, watch: mpsc::Sender<()>,
     ) -> Result<Self, String> {
         let clock = Clock::start();
-        // A report that is older than what the most hurried message takes is worth nothing.
+        // A report that is older than what the most hurried request takes is worth nothing.
         let aim_ms = site.balancer.classes.iter().map(|c| c.aim_ms).fold(f64::INFINITY, f64::min);
         let mut decider = Decider {
-            max_relays: site.balancer.max_attempts as usize,
+            max_attempts: site.balancer.max_attempts as usize,
             max_open: site.max_open,
             windows: site.balancer.classes.iter().map(window).collect(),
-            back_off_ms: site.balancer.max_retry_after_ms,
+            refusal_ms: site.balancer.max_retry_after_ms,
             names: site.names,
             balancer: Balancer::new(site.balancer, seed).map_err(|e| e.to_string())?,
             now: clock.now(),
@@ -101,9 +101,9 @@
             due: BTreeMap::new(),
             last_due: 0,
             numbers: HashMap::new(),
-            hosts: BTreeMap::new(),
-            last_host: 0,
-            south,
+            servers: BTreeMap::new(),
+            last_server: 0,
+            upstream,
             probes: BTreeMap::new(),
             probe_for: Duration::from_secs_f64((aim_ms / 1000.0).clamp(0.001, 60.0)),
             watch,
@@ -137,20 +137,20 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Message(message) => self.message(message),
+            Input::Request(request) => self.request(request),
             Input::Gone(id) => self.gone(id),
-            Input::RelayEnd(end) => self.relay_end(end),
+            Input::AttemptDone(end) => self.attempt_done(end),
             Input::Probed { server, outcome, report } => {
                 debug!(server = server.0, ?outcome, ?report, "probed");
                 self.probes.remove(&server);
                 self.feed(Event::Probed { server, outcome, report });
             }
-            Input::Inventory(News::Lost) => {
+            Input::Discovery(News::Lost) => {
                 self.feed(Event::List { kind: ListKind::Lost, members: Vec::new() });
             }
-            Input::Inventory(News::Listed(inventory)) => {
-                let kind = if inventory.all { ListKind::Whole } else { ListKind::Changes };
-                self.list(kind, inventory);
+            Input::Discovery(News::Listed(endpoints)) => {
+                let kind = if endpoints.all { ListKind::Whole } else { ListKind::Changes };
+                self.list(kind, endpoints);
             }
         }
     }
@@ -176,15 +176,16 @@
         match action {
             Action::Send { request, server, until } => self.send(request, server, until),
             Action::Cancel { request, attempt } => {
-                let sent = self.open.get_mut(&request).and_then(|open| open.relays.get_mut(attempt as usize));
+                let sent =
+                    self.open.get_mut(&request).and_then(|open| open.attempts.get_mut(attempt as usize));
                 if let Some(call_off) = sent.and_then(|sent| sent.call_off.take()) {
-                    // A relay that has just ended takes no notice.
+                    // An attempt that has just ended takes no notice.
                     let _ = call_off.send(());
                 }
             }
             Action::Refuse { request, cause, retry_after_ms } => {
                 debug!(id = request.0, ?cause, "refused");
-                self.answer(request, Answer::BackOff { retry_after_ms });
+                self.answer(request, Answer::Refused { retry_after_ms });
             }
             Action::Fail { request } => {
                 debug!(id = request.0, "failed");
@@ -209,23 +210,23 @@
         while let Some(entry) = self.due.first_entry().filter(|entry| entry.key().0 <= now) {
             match entry.remove() {
                 Due::Timer(token) => self.feed(Event::Timer { token }),
-                Due::Backstop(id) => self.backstop(id),
+                Due::Deadline(id) => self.overdue(id),
             }
         }
     }
 
-    fn message(&mut self, message: Message) {
-        let Message { id, class, tenant, deadline, envelope, answer_to } = message;
+    fn request(&mut self, request: Request) {
+        let Request { id, class, tenant, deadline, raw, answer_to } = request;
         if self.unanswered >= self.max_open {
             // A client that has left needs no answer.
-            let _ = answer_to.send(Answer::BackOff { retry_after_ms: self.back_off_ms });
+            let _ = answer_to.send(Answer::Refused { retry_after_ms: self.refusal_ms });
             return;
         }
-        debug!(id = id.0, class, tenant, "message");
+        debug!(id = id.0, class, tenant, "request");
         self.unanswered += 1;
         let answer_to = Some(answer_to);
-        self.open.insert(id, Open { class, answer_to, deadline, envelope, relays: Vec::new(), out: 0 });
-        self.set(deadline, Due::Backstop(id));
+        self.open.insert(id, Open { class, answer_to, deadline, raw, attempts: Vec::new(), out: 0 });
+        self.set(deadline, Due::Deadline(id));
         let left = deadline.saturating_duration_since(Instant::now());
         let patience_ms = left.as_secs_f64() * 1000.0;
         self.feed(Event::Request(Arrival { request: id, class, tenant, patience_ms }));
@@ -236,27 +237,26 @@
         let Some(open) = self.open.get_mut(&id) else {
             return error!(id = id.0, "the module sends what is not open");
         };
-        let number = open.relays.len();
+        let number = open.attempts.len();
         let until = until.min(open.deadline);
-        let first = open.relays.iter().find(|sent| sent.may_have_run);
+        let first = open.attempts.iter().find(|sent| sent.may_have_run);
         let window = self.windows.get(open.class).copied().flatten();
         let send_by = first.zip(window).map(|(first, window)| self.clock.instant(first.at + window));
-        let host =
-            self.hosts.get(&server).and_then(|host| Some((host.endpoint?, Arc::downgrade(&host.life))));
+        let address = self.servers.get(&server).and_then(|s| Some((s.endpoint?, Arc::downgrade(&s.life))));
         // Never sent: what has its answer, what has no time left, and what is one too many.
-        let sent =
-            host.filter(|_| open.answer_to.is_some() && number < self.max_relays && until > Instant::now());
+        let sent = address
+            .filter(|_| open.answer_to.is_some() && number < self.max_attempts && until > Instant::now());
         let (call_off, called_off) = oneshot::channel();
-        open.relays.push(Sent { server, at: self.now, may_have_run: true, call_off: Some(call_off) });
+        open.attempts.push(Sent { server, at: self.now, may_have_run: true, call_off: Some(call_off) });
         open.out += 1;
-        if let Some((host, life)) = sent {
-            let envelope = open.envelope.clone();
-            self.south.start(Relay {
-                errand: Errand::Message { id, number: number as u32 },
+        if let Some((address, life)) = sent {
+            let raw = open.raw.clone();
+            self.upstream.start(Attempt {
+                errand: Errand::Request { id, number: number as u32 },
                 server,
                 life,
-                host,
-                envelope,
+                address,
+                raw,
                 until,
                 send_by,
                 called_off,
@@ -266,19 +266,19 @@
         }
     }
 
-    /// Asks a host for its load report, over a connection like any other relay's. Guards against a host that is
+    /// Asks a server for its load report, over a connection like any other attempt's. Guards against a server that is
     /// asked again while it does not answer.
     fn probe(&mut self, server: ServerId) {
-        let host = self.hosts.get(&server).and_then(|h| Some((h.endpoint?, Arc::downgrade(&h.life))));
-        let Some((host, life)) = host.filter(|_| !self.probes.contains_key(&server)) else { return };
+        let address = self.servers.get(&server).and_then(|s| Some((s.endpoint?, Arc::downgrade(&s.life))));
+        let Some((address, life)) = address.filter(|_| !self.probes.contains_key(&server)) else { return };
         let (call_off, called_off) = oneshot::channel();
         self.probes.insert(server, call_off);
-        self.south.start(Relay {
+        self.upstream.start(Attempt {
             errand: Errand::Probe,
             server,
             life,
-            host,
-            envelope: Envelope {
+            address,
+            raw: RawRequest {
                 before: Bytes::from_static(PROBE),
                 after: Bytes::from_static(b"\r\n\r\n"),
                 body: Bytes::new(),
@@ -289,29 +289,39 @@
         });
     }
 
-    fn relay_end(&mut self, end: RelayEnd) {
-        let RelayEnd { message: id, number, outcome, at, report, answer } = end;
-        let Some(sent) = self.open.get(&id).and_then(|open| open.relays.get(number as usize)) else {
-            return error!(id = id.0, number, "a relay ended that was never sent");
+    fn attempt_done(&mut self, end: AttemptDone) {
+        let AttemptDone { request: id, number, outcome, at, report, answer } = end;
+        let Some(sent) = self.open.get(&id).and_then(|open| open.attempts.get(number as usize)) else {
+            return error!(id = id.0, number, "an attempt ended that was never sent");
         };
         let latency_ms = (self.clock.at(at) - sent.at).max(0.0);
-        if let Some(host) = self.hosts.get(&sent.server) {
+        if let Some(listed) = self.servers.get(&sent.server) {
             let (busy, per_s) = (report.utilization, report.throughput);
-            let age_ms = if host.boot_ms > 0.0 { Some(self.now - host.boot_ms) } else { None };
-            debug!(id = id.0, number, host = host.uid, age_ms, ?outcome, latency_ms, busy, per_s, "relay");
+            let age_ms = if listed.boot_ms > 0.0 { Some(self.now - listed.boot_ms) } else { None };
+            debug!(
+                id = id.0,
+                number,
+                server = listed.uid,
+                age_ms,
+                ?outcome,
+                latency_ms,
+                busy,
+                per_s,
+                "attempt"
+            );
         }
-        // The first 200 is the message's answer.
-        if let Some(host) = answer {
-            self.answer(id, Answer::Served(host));
+        // The first 200 is the request's answer.
+        if let Some(served) = answer {
+            self.answer(id, Answer::Served(served));
         }
         self.end(id, number, outcome, latency_ms, report);
         self.settle();
     }
 
-    /// Notes the end of a relay for the module, and forgets the message once nothing of it is left.
+    /// Notes the end of an attempt for the module, and forgets the request once nothing of it is left.
     fn end(&mut self, id: RequestId, number: u32, outcome: Outcome, latency_ms: f64, report: Report) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        let Some(sent) = open.relays.get_mut(number as usize) else { return };
+        let Some(sent) = open.attempts.get_mut(number as usize) else { return };
         sent.may_have_run = !outcome.never_ran();
         let (request, attempt, server) = (id, number, sent.server);
         let complete = open.answer_to.is_none();
@@ -352,8 +362,8 @@
         }
     }
 
-    /// Guards against a module that leaves a message unanswered: its client is told in time all the same.
-    fn backstop(&mut self, id: RequestId) {
+    /// The deadline timer. Guards against a module that leaves a request unanswered: its client is told in time all the same.
+    fn overdue(&mut self, id: RequestId) {
         if self.open.get(&id).is_some_and(|open| open.answer_to.is_some()) {
             error!(id = id.0, "no answer by the deadline");
             self.answer(id, Answer::Overdue);
@@ -365,55 +375,55 @@
         if let Some(id) = self.numbers.get(uid) {
             return *id;
         }
-        let id = ServerId(self.last_host);
-        self.last_host += 1;
+        let id = ServerId(self.last_server);
+        self.last_server += 1;
         self.numbers.insert(uid.to_string(), id);
         let listed = Listed { uid: uid.to_string(), endpoint: None, boot_ms: 0.0, life: Arc::new(()) };
-        self.hosts.insert(id, listed);
+        self.servers.insert(id, listed);
         id
     }
 
-    /// Follows the inventory. South side hosts go by their uid; connections go with the address and the start.
-    fn list(&mut self, kind: ListKind, inventory: Inventory) {
-        let mut members = Vec::with_capacity(inventory.targets.len());
-        for host in inventory.targets {
-            let server = self.number(&host.uid);
-            let Some(listed) = self.hosts.get_mut(&server) else { continue };
-            let moved = listed.endpoint != host.endpoint || listed.boot_ms != host.boot_ms;
-            if moved || host.state != State::Serving {
+    /// Follows the endpoint list. Servers go by their uid; connections go with the address and the start.
+    fn list(&mut self, kind: ListKind, endpoints: EndpointList) {
+        let mut members = Vec::with_capacity(endpoints.targets.len());
+        for entry in endpoints.targets {
+            let server = self.number(&entry.uid);
+            let Some(listed) = self.servers.get_mut(&server) else { continue };
+            let moved = listed.endpoint != entry.endpoint || listed.boot_ms != entry.boot_ms;
+            if moved || entry.state != State::Serving {
                 listed.life = Arc::new(());
-                self.south.forget(server);
+                self.upstream.forget(server);
             }
-            (listed.endpoint, listed.boot_ms) = (host.endpoint.or(listed.endpoint), host.boot_ms);
+            (listed.endpoint, listed.boot_ms) = (entry.endpoint.or(listed.endpoint), entry.boot_ms);
             members.push(Member {
                 server,
-                zone: self.names.zone(&host.az),
-                cell: host.pod_group,
-                place: spread(&host.uid),
-                weight: host.capacity_hint,
-                readiness: match host.state {
+                zone: self.names.zone(&entry.az),
+                cell: entry.pod_group,
+                place: spread(&entry.uid),
+                weight: entry.capacity_hint,
+                readiness: match entry.state {
                     State::Serving => Readiness::Active,
                     State::Draining => Readiness::Leaving,
                     State::Deleted => Readiness::Left,
                 },
-                started_at: host.boot_ms,
+                started_at: entry.boot_ms,
             });
         }
         if kind == ListKind::Whole {
-            for (server, host) in self.hosts.iter_mut() {
+            for (server, listed) in self.servers.iter_mut() {
                 if !members.iter().any(|m| m.server == *server) {
-                    host.life = Arc::new(());
-                    self.south.forget(*server);
+                    listed.life = Arc::new(());
+                    self.upstream.forget(*server);
                 }
             }
         }
         if members.is_empty() && kind != ListKind::Changes {
-            warn!("the inventory is empty");
+            warn!("the list of servers is empty");
         }
         self.feed(Event::List { kind, members });
-        // Guards against a table that grows with each host that ever was: what the module has forgotten goes.
+        // Guards against a table that grows with each server that ever was: what the module has forgotten goes.
         let balancer = &self.balancer;
-        self.hosts.retain(|server, _| balancer.knows(*server));
+        self.servers.retain(|server, _| balancer.knows(*server));
         self.numbers.retain(|_, server| balancer.knows(*server));
     }
 }
--- a/gateway/src/inventory.rs
+++ b/gateway/src/discovery.rs
@@ -1,6 +1,6 @@
-//! Discovery's watch: asks for the inventory, follows its changes, and hands on what it reads.
+//! Discovery's watch: asks for the endpoint list, follows its changes, and hands on what it reads.
 use crate::http1::{Reader, Status, Whole};
-use crate::messages::{Input, Inventory, News, Queue};
+use crate::requests::{EndpointList, Input, News, Queue};
 use crate::sockets::opened;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 const RENEW_ALL: Duration = Duration::from_millis(1_000);
 /// The pause after an answer that came at once and told nothing; a watch breaks after 200 ms.
 const PAUSE: Duration = Duration::from_millis(50);
-/// The most bytes of a list: 4 KiB for each of 1,024 hosts, an eighth of the least memory. It is read as it comes.
+/// The most bytes of a list: 4 KiB for each of 1,024 servers, an eighth of the least memory. It is read as it comes.
 const MAX_LIST: usize = 1 << 22;
 
 // What a silent watch missed is asked for before it counts as told.
@@ -108,7 +108,7 @@
         };
         warn!("discovery: {problem}");
         while asked.try_recv().is_ok() {}
-        if queue.send(Input::Inventory(News::Lost)).await.is_err() {
+        if queue.send(Input::Discovery(News::Lost)).await.is_err() {
             return;
         }
     }
@@ -142,13 +142,13 @@
         if answer.start != Status(200) {
             return Err(End::Failed(format!("status {}", answer.start.0)));
         }
-        let inventory = Inventory::from_slice(&answer.body).map_err(|e| format!("malformed list: {e}"))?;
-        debug!(rev = inventory.rev, all = inventory.all, entries = inventory.targets.len(), "inventory");
+        let endpoints = EndpointList::from_slice(&answer.body).map_err(|e| format!("malformed list: {e}"))?;
+        debug!(rev = endpoints.rev, all = endpoints.all, entries = endpoints.targets.len(), "endpoint list");
         // Guards against a discovery that answers without waiting: it is not asked over and over.
-        let idle = inventory.targets.is_empty() && asked_at.elapsed() < PAUSE;
-        *rev = Some(inventory.rev);
+        let idle = endpoints.targets.is_empty() && asked_at.elapsed() < PAUSE;
+        *rev = Some(endpoints.rev);
         (*heard, patience) = (true, NEXT);
-        if queue.send(Input::Inventory(News::Listed(inventory))).await.is_err() {
+        if queue.send(Input::Discovery(News::Listed(endpoints))).await.is_err() {
             return Ok(());
         }
         if idle {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,34 +1,33 @@
-//! The gateway around ternstack's decisions, one module for each stage of a message.
+//! The gateway around ternstack's decisions, one module for each stage of a request.
 //!
-//! [`intake`] takes messages from clients, [`decide`] is the one task that owns the
-//! [`Balancer`](ternstack::Balancer), [`relay`] carries messages to south side hosts, [`answer`] words what
-//! the client gets, and [`inventory`] follows discovery's list. [`http1`] parses and frames bytes, [`clock`]
-//! tells the time, [`messages`] is what these tell each other, [`config`] reads what the gateway is told at its start. [`places`] decides who holds a
-//! descriptor and who gives way, [`doors`] tells them; [`sockets`] makes a new connection fit for use;
-//! [`program`] is the whole as a process.
+//! [`listener`] takes requests from clients, [`decide`] is the one task that owns the
+//! [`Balancer`](ternstack::Balancer), [`upstream`] carries requests to servers, [`answer`] words what
+//! the client gets, and [`discovery`] follows discovery's list. [`http1`] parses and frames bytes, [`clock`]
+//! tells the time, [`requests`] is what these tell each other, [`config`] reads what the gateway is told at its
+//! start. [`budget`] decides who holds a descriptor and who gives way, [`descriptors`] tells them; [`sockets`]
+//! makes a new connection fit for use; [`program`] is the whole as a process.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod answer;
+pub mod budget;
 pub mod clock;
 pub mod config;
 pub mod decide;
-pub mod doors;
+pub mod descriptors;
+pub mod discovery;
 pub mod http1;
-pub mod intake;
-pub mod inventory;
-pub mod messages;
-pub mod places;
+pub mod listener;
 pub mod program;
-pub mod relay;
+pub mod requests;
 pub mod sockets;
+pub mod upstream;
 
 use config::Config;
 use decide::Decider;
-use doors::Doors;
-use intake::{Intake, Phase, SPARE};
-use messages::QUEUE;
-use relay::SouthSide;
+use descriptors::Descriptors;
+use listener::{Front, Phase, SPARE};
+use requests::QUEUE;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -36,12 +35,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{info, warn};
+use upstream::Upstream;
 
-/// Descriptors that are no client's and no host's: the listener, discovery, the runtime, the log, some spare.
+/// Descriptors that are no client's and no server's: the listener, discovery, the runtime, the log, some spare.
 const OWN_SOCKETS: usize = 24;
 /// Once the gateway is told to stop, new connections come for so long, with a little to spare.
 const NEW_COME: Duration = Duration::from_millis(550);
-/// After idle connections have ended, a message that crossed such an end has so long to come again.
+/// After idle connections have ended, a request that crossed such an end has so long to come again.
 const COME_AGAIN: Duration = Duration::from_millis(150);
 /// All must be over this long after the longest deadline.
 const LAST: Duration = Duration::from_millis(600);
@@ -60,19 +60,19 @@
 
     let dial_timeout = Duration::from_secs_f64(site.dial_timeout_ms / 1000.0);
     let longest = site.balancer.classes.iter().map(|c| c.deadline_ms).fold(0.0, f64::max);
-    let doors = Doors::new(sockets.saturating_sub(OWN_SOCKETS + SPARE));
-    let south = SouthSide::new(queue.clone(), doors.clone(), site.balancer.idle_ms, dial_timeout);
-    let (rev, hosts) = (known.rev, known.targets.len());
+    let descriptors = Descriptors::new(sockets.saturating_sub(OWN_SOCKETS + SPARE));
+    let upstream = Upstream::new(queue.clone(), descriptors.clone(), site.balancer.idle_ms, dial_timeout);
+    let (rev, servers) = (known.rev, known.targets.len());
     // A known list of any revision, 0 too, saves discovery the whole one.
-    let held = (hosts > 0).then_some(rev);
-    let turn = inventory::turn(site.balancer.me, site.balancer.instances);
-    let decider = Decider::new(site.clone(), seed, known, south, watch_wanted)?;
-    let intake = Intake::new(site, queue.clone(), phase_now, doors);
+    let held = (servers > 0).then_some(rev);
+    let turn = discovery::turn(site.balancer.me, site.balancer.instances);
+    let decider = Decider::new(site.clone(), seed, known, upstream, watch_wanted)?;
+    let front = Front::new(site, queue.clone(), phase_now, descriptors);
 
     let mut deciding = tokio::spawn(decider.run(inputs));
-    let following = tokio::spawn(inventory::follow(discovery, dial_timeout, held, turn, watch_asked, queue));
-    let accepting = tokio::spawn(intake.clone().accept(listener));
-    info!(name, %listen, hosts, rev, "serving");
+    let following = tokio::spawn(discovery::follow(discovery, dial_timeout, held, turn, watch_asked, queue));
+    let accepting = tokio::spawn(front.clone().accept(listener));
+    info!(name, %listen, servers, rev, "serving");
     tokio::select! {
         () = told => {}
         // Without it nothing can be decided: better started anew than here and deaf.
@@ -84,10 +84,10 @@
     phase.send_replace(Phase::Stopping);
     sleep(NEW_COME).await;
     phase.send_replace(Phase::Closing);
-    // Guards against leaving a client alone whose message crossed the end of an idle connection.
+    // Guards against leaving a client alone whose request crossed the end of an idle connection.
     sleep(COME_AGAIN).await;
     tokio::select! {
-        () = intake.empty() => info!("nothing is owed"),
+        () = front.empty() => info!("nothing is owed"),
         () = sleep_until(last) => warn!("out of time with connections still open"),
     }
     for task in [deciding, following, accepting] {
--- a/gateway/src/intake.rs
+++ b/gateway/src/listener.rs
@@ -1,12 +1,12 @@
-//! The platform's front: the listener, clients' connections, and HTTP requests made into messages.
+//! The platform's front: the listener, clients' connections, and HTTP requests made into the program's own.
 //!
-//! Nothing of HTTP goes further than the envelope's opaque bytes, so that another front could stand beside
-//! this one and hand the same kind of [`Message`] to the same queue.
+//! Nothing of HTTP goes further than the opaque bytes of a raw request, so that another front could stand beside
+//! this one and hand the same kind of [`Request`] to the same queue.
 use crate::answer::{Plain, Wording};
-use crate::doors::{Doors, Place};
+use crate::budget::Doing;
+use crate::descriptors::{Descriptor, Descriptors};
 use crate::http1::{Ask, Reader, Whole, MAX_BODY};
-use crate::messages::{Answer, Envelope, Input, Message, Queue};
-use crate::places::Doing;
+use crate::requests::{Answer, Input, Queue, RawRequest, Request};
 use crate::sockets::opened;
 use bytes::{Buf, Bytes, BytesMut};
 use std::collections::HashSet;
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, sleep_until, timeout, timeout_at, Instant};
 use tracing::{debug, warn};
 
-/// A message must have come whole this long after its first byte, and a first one after the connection: whoever
+/// A request must have come whole this long after its first byte, and a first one after the connection: whoever
 /// sends what never ends is owed an error within 3 s.
 const READ_TIME: Duration = Duration::from_millis(2500);
 /// An answer must have been taken this long after it was written.
@@ -35,15 +35,15 @@
 /// So many bytes are read at once in that time, with a pause after each, lest a flood cost the others their CPU.
 const LINGER_BYTES: usize = 64 * 1024;
 const LINGER_PAUSE: Duration = Duration::from_millis(5);
-/// What a client sends while its message is open is kept up to so many bytes.
+/// What a client sends while its request is open is kept up to so many bytes.
 const EARLY: usize = 4 * 1024;
-/// A connection that comes while the gateway closes has so long to send its message.
+/// A connection that comes while the gateway closes has so long to send its request.
 const LATE_COMER: Duration = Duration::from_millis(100);
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// A lack of descriptors is told of at most this often.
 const WARN_PAUSE: Duration = Duration::from_secs(5);
-/// So many clients past the budget are taken in for a back-off answer.
+/// So many clients past the budget are taken in for a refusal.
 pub const SPARE: usize = 24;
 
 const ID: &str = "X-Correlation-Id";
@@ -57,32 +57,32 @@
 pub enum Phase {
     /// It serves.
     Serving,
-    /// It serves what still comes, one message a connection.
+    /// It serves what still comes, one request a connection.
     Stopping,
     /// It ends connections that stand idle.
     Closing,
 }
 
 /// What all connections of this front share.
-pub struct Intake {
+pub struct Front {
     site: Site,
     queue: Queue,
     phase: watch::Receiver<Phase>,
     last: AtomicU64,
-    doors: Arc<Doors>,
+    descriptors: Arc<Descriptors>,
     spare: Arc<Semaphore>,
     live: AtomicUsize,
     ids: Mutex<HashSet<Bytes>>,
-    back_off_ms: f64,
+    refusal_ms: f64,
 }
 
 /// A connection that is being served, from its accept on.
-struct Live(Arc<Intake>);
+struct Live(Arc<Front>);
 
 impl Live {
-    fn new(intake: Arc<Intake>) -> Self {
-        intake.live.fetch_add(1, Ordering::Relaxed);
-        Live(intake)
+    fn new(front: Arc<Front>) -> Self {
+        front.live.fetch_add(1, Ordering::Relaxed);
+        Live(front)
     }
 }
 
@@ -94,21 +94,21 @@
 
 /// What lets a connection in.
 enum Entry {
-    /// A place, and what tells that it is given away.
-    Place(Place, oneshot::Receiver<()>),
-    /// None: it gets a back-off answer only.
+    /// A descriptor, and what tells that it is given away.
+    Descriptor(Descriptor, oneshot::Receiver<()>),
+    /// None: it gets a refusal only.
     Spare(OwnedSemaphorePermit),
 }
 
-/// The id of an open message, which no other may bear until this one has its answer.
+/// The id of an open request, which no other may bear until this one has its answer.
 struct OpenId<'a> {
-    intake: &'a Intake,
+    front: &'a Front,
     id: Bytes,
 }
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
-        held(&self.intake.ids).remove(&self.id);
+        held(&self.front.ids).remove(&self.id);
     }
 }
 
@@ -116,16 +116,18 @@
     lock.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-impl Intake {
-    /// A front whose clients share the budget of `doors` with the hosts.
-    pub fn new(site: Site, queue: Queue, phase: watch::Receiver<Phase>, doors: Arc<Doors>) -> Arc<Self> {
-        Arc::new(Intake {
-            back_off_ms: site.balancer.max_retry_after_ms,
+impl Front {
+    /// A front whose clients share the budget of `descriptors` with the servers.
+    pub fn new(
+        site: Site, queue: Queue, phase: watch::Receiver<Phase>, descriptors: Arc<Descriptors>,
+    ) -> Arc<Self> {
+        Arc::new(Front {
+            refusal_ms: site.balancer.max_retry_after_ms,
             site,
             queue,
             phase,
             last: AtomicU64::new(0),
-            doors,
+            descriptors,
             spare: Arc::new(Semaphore::new(SPARE)),
             live: AtomicUsize::new(0),
             ids: Mutex::default(),
@@ -136,13 +138,15 @@
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut warned: Option<Instant> = None;
         loop {
-            // Guards against clients that wait unheard: where there is no place and nobody gives way, a few more
+            // Guards against clients that wait unheard: where there is no descriptor and nobody gives way, a few more
             // are taken in and told to come back later. Beyond these the listener's own queue has to do.
             let Ok(spare) = self.spare.clone().acquire_owned().await else { return };
             match opened(listener.accept().await.map(|(stream, _)| stream)) {
                 Ok(stream) => {
-                    let (entry, made_room) = match self.doors.enter() {
-                        Some((place, ended, made_room)) => (Entry::Place(place, ended), made_room),
+                    let (entry, made_room) = match self.descriptors.enter() {
+                        Some((descriptor, ended, made_room)) => {
+                            (Entry::Descriptor(descriptor, ended), made_room)
+                        }
                         None => (Entry::Spare(spare), false),
                     };
                     // Counted before its task runs: a gateway that ends must not take it for nobody.
@@ -163,18 +167,18 @@
                         warn!("cannot accept: {e}; trying again");
                         warned = Some(Instant::now());
                     }
-                    self.doors.make_room();
+                    self.descriptors.make_room();
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
 
-    /// Takes an id for a message; `None` while another open message bears it.
+    /// Takes an id for a request; `None` while another open request bears it.
     fn take_id(&self, id: Bytes) -> Option<OpenId<'_>> {
         let free = held(&self.ids).insert(id.clone());
-        // Made only if it is free: dropping it would free the id of the other message.
-        free.then(|| OpenId { intake: self, id })
+        // Made only if it is free: dropping it would free the id of the other request.
+        free.then(|| OpenId { front: self, id })
     }
 
     /// Waits until no client's connection is left.
@@ -190,12 +194,12 @@
 
     /// Serves a client until one side ends the connection.
     async fn serve(&self, mut stream: TcpStream, entry: Entry) -> io::Result<()> {
-        let (place, mut given_away) = match entry {
-            Entry::Place(place, given_away) => (Ok(place), Some(given_away)),
+        let (descriptor, mut given_away) = match entry {
+            Entry::Descriptor(descriptor, given_away) => (Ok(descriptor), Some(given_away)),
             Entry::Spare(spare) => (Err(spare), None),
         };
-        let full = place.is_err();
-        let does = |doing| place.iter().for_each(|place| place.does(doing));
+        let full = descriptor.is_err();
+        let does = |doing| descriptor.iter().for_each(|descriptor| descriptor.does(doing));
         let mut reader = Reader::<Ask>::new(MAX_BODY);
         let mut phase = self.phase.clone();
         let accepted = Instant::now();
@@ -223,7 +227,7 @@
             let asked = tokio::select! {
                 biased;
                 asked = timeout_at(until, read(&mut stream, &mut reader)) => asked,
-                // Too slow for times in which places are short.
+                // Too slow for times in which descriptors are short.
                 () = gone(&mut given_away) => return Ok(()),
             };
             let (wording, keep_alive) = match asked {
@@ -233,9 +237,9 @@
                     let Some(answered) = self.answered(ask, &mut stream, &mut reader, full).await? else {
                         return Ok(());
                     };
-                    // A bad message ends the connection; and the phase may have changed meanwhile.
+                    // A bad request ends the connection; and the phase may have changed meanwhile.
                     let bad = matches!(answered, Err(Plain::Bad(_) | Plain::Method));
-                    let lost = place.as_ref().is_ok_and(Place::is_lost);
+                    let lost = descriptor.as_ref().is_ok_and(Descriptor::is_lost);
                     let keep_alive = keep_alive && !bad && !lost && self.phase() == Phase::Serving;
                     let wording = match answered {
                         Ok(answer) => answer.word(keep_alive),
@@ -269,20 +273,20 @@
             _ => return Ok(Some(Err(Plain::NotFound))),
         }
         let (answer_to, answer) = oneshot::channel();
-        let message = match self.message(&ask, answer_to) {
-            Ok(message) => message,
+        let request = match self.request(&ask, answer_to) {
+            Ok(request) => request,
             Err(why) => return Ok(Some(Err(Plain::Bad(why)))),
         };
         if full {
-            return Ok(Some(Ok(Answer::BackOff { retry_after_ms: self.back_off_ms })));
+            return Ok(Some(Ok(Answer::Refused { retry_after_ms: self.refusal_ms })));
         }
         // Guards against an id that is in use: no answer could be told from the other's.
         let Some(_open) = ask.fields.bytes(ID).and_then(|id| self.take_id(id)) else {
-            return Ok(Some(Err(Plain::Bad("X-Correlation-Id is that of an open message"))));
+            return Ok(Some(Err(Plain::Bad("X-Correlation-Id is that of an open request"))));
         };
-        let id = message.id;
+        let id = request.id;
         drop(ask);
-        if self.queue.send(Input::Message(message)).await.is_err() {
+        if self.queue.send(Input::Request(request)).await.is_err() {
             return Ok(Some(Ok(Answer::Failed)));
         }
         tokio::select! {
@@ -296,8 +300,8 @@
         }
     }
 
-    /// Makes a message of a request: takes out what decisions need, and leaves the rest as it came.
-    fn message(&self, ask: &Whole<Ask>, answer_to: oneshot::Sender<Answer>) -> Result<Message, &'static str> {
+    /// Makes a request of an HTTP one: takes out what decisions need, and leaves the rest as it came.
+    fn request(&self, ask: &Whole<Ask>, answer_to: oneshot::Sender<Answer>) -> Result<Request, &'static str> {
         let fields = &ask.fields;
         if fields.all(ID).count() != 1 || fields.get(ID).is_none_or(<[u8]>::is_empty) {
             return Err("X-Correlation-Id is missing or given twice");
@@ -305,7 +309,7 @@
         let class = fields.text(CLASS).and_then(|name| self.site.names.class(name));
         let class = class.ok_or("X-Service-Class is missing or not in the settings")?;
         let rules = &self.site.balancer.classes[class];
-        // Without its key, no host could drop a repeat.
+        // Without its key, no server could drop a repeat.
         if rules.effect == Effect::Keyed && fields.get(KEY).is_none_or(<[u8]>::is_empty) {
             return Err("Idempotency-Key is missing");
         }
@@ -321,19 +325,19 @@
         let tenant = fields.text(TENANT).and_then(|name| self.site.names.tenant(name));
         let id = RequestId(self.last.fetch_add(1, Ordering::Relaxed));
         debug!(id = id.0, correlation = fields.text(ID), left_ms, "taken");
-        Ok(Message {
+        Ok(Request {
             id,
             class,
             tenant,
             deadline: Instant::now() + Duration::from_secs_f64(left_ms / 1000.0),
-            envelope: envelope(ask),
+            raw: raw(ask),
             answer_to,
         })
     }
 }
 
 /// What goes on: method, path, query, end-to-end fields and body as they came.
-fn envelope(ask: &Whole<Ask>) -> Envelope {
+fn raw(ask: &Whole<Ask>) -> RawRequest {
     let mut before = BytesMut::with_capacity(128);
     for part in [ask.method(), b" ", ask.target(), b" HTTP/1.1\r\n", TIME_LEFT.as_bytes(), b": "] {
         before.extend_from_slice(part);
@@ -343,19 +347,19 @@
     if ask.fields.get("host").is_none() {
         after.extend_from_slice(b"Host: backend.local\r\n"); // HTTP/1.1 needs one; HTTP/1.0 has none.
     }
-    // Guards against a `Connection` field that names the id: no host gets a message without it.
+    // Guards against a `Connection` field that names the id: no server gets a request without it.
     ask.fields.write_end_to_end(&mut after, &[TIME_LEFT], &[ID, KEY]);
     if !ask.body.is_empty() || ask.method() == b"POST" {
         after.extend_from_slice(format!("Content-Length: {}\r\n", ask.body.len()).as_bytes());
     }
     after.extend_from_slice(b"\r\n");
-    Envelope { before: before.freeze(), after: after.freeze(), body: ask.body.clone() }
+    RawRequest { before: before.freeze(), after: after.freeze(), body: ask.body.clone() }
 }
 
-/// Waits until a place is given away; for ever without one.
+/// Waits until a descriptor is given away; for ever without one.
 async fn gone(given_away: &mut Option<oneshot::Receiver<()>>) {
     match given_away {
-        // An error comes only once the place is gone too.
+        // An error comes only once the descriptor is gone too.
         Some(given_away) => drop(given_away.await),
         None => std::future::pending().await,
     }
--- a/gateway/src/program.rs
+++ b/gateway/src/program.rs
@@ -9,7 +9,7 @@
 use tracing::{error, info};
 use tracing_appender::non_blocking::NonBlockingBuilder;
 
-/// Lines that may wait for the log; beyond that they are dropped, so that no reader of it holds up a message.
+/// Lines that may wait for the log; beyond that they are dropped, so that no reader of it holds up a request.
 const LOG_LINES: usize = 1024;
 
 /// Reads the environment, and serves until SIGTERM or SIGINT. The exit code is 0 after these.
--- a/gateway/src/messages.rs
+++ b/gateway/src/requests.rs
@@ -1,5 +1,5 @@
-//! What the gateway's tasks tell each other: messages, their final answers, relays' ends, and discovery's lists. The
-//! modules that follow a message import this one, and not each other in a ring.
+//! What the gateway's tasks tell each other: requests, their final answers, attempts' ends, and discovery's lists. The
+//! modules that follow a request import this one, and not each other in a ring.
 use crate::http1::{Status, Whole};
 use bytes::Bytes;
 use serde::Deserialize;
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-/// A host's load report; it ends at the gateway.
+/// A server's load report; it ends at the gateway.
 pub const LOAD: &str = "X-Backend-Load";
 
 /// How many inputs may wait; who comes then waits too.
@@ -21,28 +21,28 @@
 /// What the deciding task is told.
 #[derive(Debug)]
 pub enum Input {
-    /// A client's message has been taken.
-    Message(Message),
+    /// A client's request has been taken.
+    Request(Request),
     /// Its client has left.
     Gone(RequestId),
-    /// A relay has ended.
-    RelayEnd(RelayEnd),
+    /// A attempt has ended.
+    AttemptDone(AttemptDone),
     /// A probe has ended.
     Probed {
-        /// The host that was asked.
+        /// The server that was asked.
         server: ServerId,
         /// How it ended.
         outcome: Outcome,
-        /// What the host told of its load.
+        /// What the server told of its load.
         report: Report,
     },
     /// Discovery has been heard, or lost.
-    Inventory(News),
+    Discovery(News),
 }
 
-/// A message, in terms that any front can give.
+/// A request, in terms that any front can give.
 #[derive(Debug)]
-pub struct Message {
+pub struct Request {
     /// Its number, used once.
     pub id: RequestId,
     /// The number of its class in the settings.
@@ -51,15 +51,15 @@
     pub tenant: Option<usize>,
     /// When its client stops waiting.
     pub deadline: Instant,
-    /// What goes on to a south side host.
-    pub envelope: Envelope,
+    /// What goes on to a server.
+    pub raw: RawRequest,
     /// Takes the one final answer.
     pub answer_to: oneshot::Sender<Answer>,
 }
 
-/// A message as it goes on: opaque bytes, in which only the time left is filled in.
+/// A request as it goes on: opaque bytes, in which only the time left is filled in.
 #[derive(Clone, Debug, Default)]
-pub struct Envelope {
+pub struct RawRequest {
     /// What stands before the time left.
     pub before: Bytes,
     /// What stands after it.
@@ -68,13 +68,13 @@
     pub body: Bytes,
 }
 
-/// The one final answer to a message, whatever front it came through.
+/// The one final answer to a request, whatever front it came through.
 #[derive(Debug)]
 pub enum Answer {
-    /// A south side host has served it.
+    /// A server has served it.
     Served(Whole<Status>),
-    /// The back-off answer: trying again is harmless, after the time given (0 for no advice).
-    BackOff {
+    /// The refusal: trying again is harmless, after the time given (0 for no advice).
+    Refused {
         /// When to come back, in ms from now.
         retry_after_ms: f64,
     },
@@ -84,12 +84,12 @@
     Overdue,
 }
 
-/// How a message's relay ended; there is exactly one for each.
+/// How a request's attempt ended; there is exactly one for each.
 #[derive(Debug)]
-pub struct RelayEnd {
-    /// The message.
-    pub message: RequestId,
-    /// The relay's number.
+pub struct AttemptDone {
+    /// The request.
+    pub request: RequestId,
+    /// The attempt's number.
     pub number: u32,
     /// How it ended.
     pub outcome: Outcome,
@@ -97,11 +97,11 @@
     pub at: Instant,
     /// The load report that came along.
     pub report: Report,
-    /// The host's answer, if it is what the client wants.
+    /// The server's answer, if it is what the client wants.
     pub answer: Option<Whole<Status>>,
 }
 
-/// What discovery says of a south side host's readiness.
+/// What discovery says of a server's readiness.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum State {
@@ -113,9 +113,9 @@
     Deleted,
 }
 
-/// A south side host as discovery lists it. Fields that are not known here are skipped.
+/// A server as discovery lists it. Fields that are not known here are skipped.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
-pub struct SouthSideHost {
+pub struct Endpoint {
     /// Its name, the same at every gateway and after a restart.
     pub uid: String,
     /// Where it listens for this gateway; what is gone may have none.
@@ -142,16 +142,16 @@
 
 /// Discovery's list, or the changes in it.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
-pub struct Inventory {
+pub struct EndpointList {
     /// Its version.
     pub rev: u64,
     /// The whole list, not changes.
     pub all: bool,
     /// The entries.
-    pub targets: Vec<SouthSideHost>,
+    pub targets: Vec<Endpoint>,
 }
 
-impl Inventory {
+impl EndpointList {
     /// Reads a list from JSON text.
     pub fn from_slice(text: &[u8]) -> Result<Self, String> {
         serde_json::from_slice(text).map_err(|e| e.to_string()).and_then(Self::checked)
@@ -162,11 +162,11 @@
         Self::deserialize(value).map_err(|e| e.to_string()).and_then(Self::checked)
     }
 
-    /// Guards against a list that is only half understood: a south side host that serves has an address.
+    /// Guards against a list that is only half understood: a server that serves has an address.
     fn checked(self) -> Result<Self, String> {
-        let nowhere = |h: &&SouthSideHost| h.state != State::Deleted && h.endpoint.is_none();
+        let nowhere = |h: &&Endpoint| h.state != State::Deleted && h.endpoint.is_none();
         match self.targets.iter().find(nowhere) {
-            Some(host) => Err(format!("targets: {}: endpoint is missing", host.uid)),
+            Some(entry) => Err(format!("targets: {}: endpoint is missing", entry.uid)),
             None => Ok(self),
         }
     }
@@ -176,7 +176,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum News {
     /// The list, or changes in it.
-    Listed(Inventory),
+    Listed(EndpointList),
     /// A call failed: the old list stands, and the module says when to ask again.
     Lost,
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/upstream.rs
@@ -1,10 +1,10 @@
-//! Relays: connections to south side hosts, sending, and how each relay ended.
+//! Attempts: connections to servers, sending, and how each attempt ended.
 //!
-//! A connection is a task that carries one relay at a time. While it is idle it waits for the next one, for the
-//! host to close, or for its time to be up; the most recently used idle connection is taken first.
-use crate::doors::Doors;
+//! A connection is a task that carries one attempt at a time. While it is idle it waits for the next one, for the
+//! server to close, or for its time to be up; the most recently used idle connection is taken first.
+use crate::descriptors::Descriptors;
 use crate::http1::{Reader, Status, Whole, MAX_BODY};
-use crate::messages::{Envelope, Input, Queue, RelayEnd, LOAD};
+use crate::requests::{AttemptDone, Input, Queue, RawRequest, LOAD};
 use crate::sockets::opened;
 use bytes::{Buf, Bytes};
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{sleep_until, timeout, timeout_at, Instant};
 
-/// A connection is closed after this part of the time in which the host would close it.
+/// A connection is closed after this part of the time in which the server would close it.
 const IDLE_PART: f64 = 0.9;
 /// An answer that has begun may pause for so long; one that stops in its middle is spoilt.
 const ANSWER_GAP: Duration = Duration::from_millis(250);
@@ -28,33 +28,33 @@
 /// What a connection is asked to carry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Errand {
-    /// A message.
-    Message {
-        /// The message.
+    /// A request.
+    Request {
+        /// The request.
         id: RequestId,
-        /// The relay's number among the message's, in send order.
+        /// The attempt's number among the request's, in send order.
         number: u32,
     },
-    /// A question for the host's load report, where the settings permit it.
+    /// A question for the server's load report, where the settings permit it.
     Probe,
 }
 
-/// One attempt to have a message served, or a probe answered, by a south side host.
+/// One attempt to have a request served, or a probe answered, by a server.
 #[derive(Debug)]
-pub struct Relay {
+pub struct Attempt {
     /// What it is for.
     pub errand: Errand,
-    /// The host it goes to.
+    /// The server it goes to.
     pub server: ServerId,
-    /// The host's present life: it ends with its address, its start or its service.
+    /// The server's present life: it ends with its address, its start or its service.
     pub life: Weak<()>,
-    /// Where the host listens.
-    pub host: SocketAddr,
+    /// Where the server listens.
+    pub address: SocketAddr,
     /// What is sent.
-    pub envelope: Envelope,
+    pub raw: RawRequest,
     /// When it is given up.
     pub until: Instant,
-    /// For a repeat that hosts drop for a while only: when it must have been sent.
+    /// For a repeat that servers drop for a while only: when it must have been sent.
     pub send_by: Option<Instant>,
     /// Fires when it is called off.
     pub called_off: oneshot::Receiver<()>,
@@ -64,7 +64,7 @@
 #[derive(Debug)]
 struct Idle {
     number: u64,
-    next: oneshot::Sender<Relay>,
+    next: oneshot::Sender<Attempt>,
 }
 
 #[derive(Debug, Default)]
@@ -73,59 +73,59 @@
     last: u64,
 }
 
-/// The way to the south side: all connections to its hosts.
+/// The way to the servers: all connections to them.
 #[derive(Clone, Debug)]
-pub struct SouthSide {
+pub struct Upstream {
     pool: Arc<Mutex<Pool>>,
     queue: Queue,
-    doors: Arc<Doors>,
+    descriptors: Arc<Descriptors>,
     idle_for: Duration,
     dial_timeout: Duration,
 }
 
-impl SouthSide {
-    /// Connections within the budget of `doors`, each closed when it has been idle for a little less than `idle_ms`.
-    pub fn new(queue: Queue, doors: Arc<Doors>, idle_ms: f64, dial_timeout: Duration) -> Self {
+impl Upstream {
+    /// Connections within the budget of `descriptors`, each closed when it has been idle for a little less than `idle_ms`.
+    pub fn new(queue: Queue, descriptors: Arc<Descriptors>, idle_ms: f64, dial_timeout: Duration) -> Self {
         let idle_for = Duration::from_secs_f64((idle_ms * IDLE_PART / 1000.0).min(86_400.0));
-        SouthSide { pool: Arc::default(), queue, doors, idle_for, dial_timeout }
+        Upstream { pool: Arc::default(), queue, descriptors, idle_for, dial_timeout }
     }
 
     fn pool(&self) -> MutexGuard<'_, Pool> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Sends a relay on its way: over an idle connection if there is one, else over a new one.
-    pub fn start(&self, mut relay: Relay) {
+    /// Sends an attempt on its way: over an idle connection if there is one, else over a new one.
+    pub fn start(&self, mut attempt: Attempt) {
         loop {
-            let idle = self.pool().idle.get_mut(&relay.server).and_then(Vec::pop);
+            let idle = self.pool().idle.get_mut(&attempt.server).and_then(Vec::pop);
             let Some(idle) = idle else { break };
-            // A connection that has just closed gives the relay back, with nothing sent.
-            match idle.next.send(relay) {
+            // A connection that has just closed gives the attempt back, with nothing sent.
+            match idle.next.send(attempt) {
                 Ok(()) => return,
-                Err(back) => relay = back,
+                Err(back) => attempt = back,
             }
         }
         let slot = self.slot();
-        let south = self.clone();
+        let upstream = self.clone();
         tokio::spawn(async move {
             match slot {
-                Some(slot) => carry(south, slot, relay).await,
-                None => south.end(&relay, Outcome::NotSent, None).await,
+                Some(slot) => carry(upstream, slot, attempt).await,
+                None => upstream.end(&attempt, Outcome::NotSent, None).await,
             }
         });
     }
 
-    /// Closes the idle connections to a host.
-    pub fn forget(&self, host: ServerId) {
-        self.pool().idle.remove(&host);
+    /// Closes the idle connections to a server.
+    pub fn forget(&self, server: ServerId) {
+        self.pool().idle.remove(&server);
     }
 
     /// Counts a new connection. Guards against running out of sockets: past the budget, the connection that has
     /// been idle for longest makes room; if none is idle, a client's does that waits; else nothing can be sent.
     fn slot(&self) -> Option<Slot> {
-        if !self.doors.has_room() && self.end_oldest() {
-            self.doors.replace_host();
-        } else if !self.doors.open_host() {
+        if !self.descriptors.has_room() && self.end_oldest() {
+            self.descriptors.replace_server();
+        } else if !self.descriptors.open_server() {
             return None;
         }
         Some(Slot(self.clone()))
@@ -134,44 +134,51 @@
     /// Ends the connection that has been idle for longest, if any is.
     fn end_oldest(&self) -> bool {
         let mut pool = self.pool();
-        let oldest = pool.idle.iter().filter_map(|(host, row)| Some((row.first()?.number, *host))).min();
+        let oldest = pool.idle.iter().filter_map(|(server, row)| Some((row.first()?.number, *server))).min();
         let Some(row) = oldest.and_then(|oldest| pool.idle.get_mut(&oldest.1)) else { return false };
         drop(row.remove(0));
         true
     }
 
     /// Offers an idle connection; what it is to carry next comes out of the receiver.
-    fn offer(&self, host: ServerId) -> (u64, oneshot::Receiver<Relay>) {
-        let (next, relay) = oneshot::channel();
+    fn offer(&self, server: ServerId) -> (u64, oneshot::Receiver<Attempt>) {
+        let (next, attempt) = oneshot::channel();
         let mut pool = self.pool();
         pool.last += 1;
         let number = pool.last;
-        pool.idle.entry(host).or_default().push(Idle { number, next });
-        (number, relay)
+        pool.idle.entry(server).or_default().push(Idle { number, next });
+        (number, attempt)
     }
 
-    fn withdraw(&self, host: ServerId, number: u64) {
+    fn withdraw(&self, server: ServerId, number: u64) {
         let mut pool = self.pool();
-        if let Some(row) = pool.idle.get_mut(&host) {
+        if let Some(row) = pool.idle.get_mut(&server) {
             row.retain(|idle| idle.number != number);
             if row.is_empty() {
-                pool.idle.remove(&host);
+                pool.idle.remove(&server);
             }
         }
     }
 
-    async fn end(&self, relay: &Relay, outcome: Outcome, answer: Option<Whole<Status>>) {
-        let text = answer.as_ref().map(|a| match relay.errand {
-            Errand::Message { .. } => a.fields.text(LOAD).unwrap_or(""),
+    async fn end(&self, attempt: &Attempt, outcome: Outcome, answer: Option<Whole<Status>>) {
+        let text = answer.as_ref().map(|a| match attempt.errand {
+            Errand::Request { .. } => a.fields.text(LOAD).unwrap_or(""),
             Errand::Probe => std::str::from_utf8(&a.body).unwrap_or(""),
         });
         let report = text.map(read_report).unwrap_or_default();
-        let input = match relay.errand {
-            Errand::Message { id: message, number } => {
+        let input = match attempt.errand {
+            Errand::Request { id: request, number } => {
                 let answer = answer.filter(|_| outcome == Outcome::Served);
-                Input::RelayEnd(RelayEnd { message, number, outcome, at: Instant::now(), report, answer })
+                Input::AttemptDone(AttemptDone {
+                    request,
+                    number,
+                    outcome,
+                    at: Instant::now(),
+                    report,
+                    answer,
+                })
             }
-            Errand::Probe => Input::Probed { server: relay.server, outcome, report },
+            Errand::Probe => Input::Probed { server: attempt.server, outcome, report },
         };
         // The queue only closes when the gateway ends.
         let _ = self.queue.send(input).await;
@@ -179,46 +186,46 @@
 }
 
 /// A counted connection.
-struct Slot(SouthSide);
+struct Slot(Upstream);
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.0.doors.close_host();
+        self.0.descriptors.close_server();
     }
 }
 
-/// A connection's life: dialled for a first relay, it carries relays until one leaves it unfit for more.
-async fn carry(south: SouthSide, _slot: Slot, mut relay: Relay) {
-    let mut stream = match dial(&south, &mut relay).await {
+/// A connection's life: dialled for a first attempt, it carries attempts until one leaves it unfit for more.
+async fn carry(upstream: Upstream, _slot: Slot, mut attempt: Attempt) {
+    let mut stream = match dial(&upstream, &mut attempt).await {
         Ok(stream) => stream,
-        Err(outcome) => return south.end(&relay, outcome, None).await,
+        Err(outcome) => return upstream.end(&attempt, outcome, None).await,
     };
     loop {
         let mut reader = Reader::new(MAX_BODY);
-        let (outcome, answer) = exchange(&mut stream, &mut reader, &mut relay).await;
-        // Guards against a new host at an old address, or one that started anew: it gets new connections only.
-        let same = relay.life.strong_count() > 0;
+        let (outcome, answer) = exchange(&mut stream, &mut reader, &mut attempt).await;
+        // Guards against a new server at an old address, or one that started anew: it gets new connections only.
+        let same = attempt.life.strong_count() > 0;
         let fit = same && answer.as_ref().is_some_and(|a| a.keep_alive) && reader.is_idle();
         // Offered before the end is told: what the module sends next may take this connection.
-        let offered = fit.then(|| south.offer(relay.server));
-        south.end(&relay, outcome, answer).await;
-        relay.envelope = Envelope::default(); // An idle connection holds no message's bytes.
+        let offered = fit.then(|| upstream.offer(attempt.server));
+        upstream.end(&attempt, outcome, answer).await;
+        attempt.raw = RawRequest::default(); // An idle connection holds no request's bytes.
         drop(reader);
         let Some((number, mut next)) = offered else { return };
-        let up = Instant::now() + south.idle_for;
-        relay = tokio::select! {
+        let up = Instant::now() + upstream.idle_for;
+        attempt = tokio::select! {
             biased;
             next = &mut next => match next {
-                Ok(relay) => relay,
-                Err(_) => return, // Closed to make room, or since the host left.
+                Ok(attempt) => attempt,
+                Err(_) => return, // Closed to make room, or since the server left.
             },
-            () = unfit(&stream) => return south.withdraw(relay.server, number),
-            _ = sleep_until(up) => return south.withdraw(relay.server, number),
+            () = unfit(&stream) => return upstream.withdraw(attempt.server, number),
+            _ = sleep_until(up) => return upstream.withdraw(attempt.server, number),
         };
-        // Guards against a host that closed a moment ago: nothing is sent yet, so this relay takes another
+        // Guards against a server that closed a moment ago: nothing is sent yet, so this attempt takes another
         // connection, and nothing is sent twice.
         if !is_silent(&stream) {
-            return south.start(relay);
+            return upstream.start(attempt);
         }
     }
 }
@@ -235,16 +242,16 @@
 }
 
 /// Opens a connection; the outcome if none comes up.
-async fn dial(south: &SouthSide, relay: &mut Relay) -> Result<TcpStream, Outcome> {
-    let until = relay.until.min(Instant::now() + south.dial_timeout);
+async fn dial(upstream: &Upstream, attempt: &mut Attempt) -> Result<TcpStream, Outcome> {
+    let until = attempt.until.min(Instant::now() + upstream.dial_timeout);
     let dialled = tokio::select! {
         biased;
-        _ = &mut relay.called_off => return Err(Outcome::CalledOff),
-        dialled = timeout_at(until, TcpStream::connect(relay.host)) => dialled,
+        _ = &mut attempt.called_off => return Err(Outcome::CalledOff),
+        dialled = timeout_at(until, TcpStream::connect(attempt.address)) => dialled,
     };
     match dialled.map(opened) {
         Ok(Ok(stream)) => Ok(stream),
-        // Guards against blaming the host for this machine's lack of descriptors or ports.
+        // Guards against blaming the server for this machine's lack of descriptors or ports.
         Ok(Err(e)) if is_ours(&e) => Err(Outcome::NotSent),
         _ => Err(Outcome::NoConnection),
     }
@@ -256,36 +263,35 @@
     matches!(error.raw_os_error(), Some(24 | 23 | 99 | 105 | 12))
 }
 
-/// Sends a relay and waits for its answer, until it is given up or called off.
+/// Sends an attempt and waits for its answer, until it is given up or called off.
 async fn exchange(
-    stream: &mut TcpStream, reader: &mut Reader<Status>, relay: &mut Relay,
+    stream: &mut TcpStream, reader: &mut Reader<Status>, attempt: &mut Attempt,
 ) -> (Outcome, Option<Whole<Status>>) {
-    // Guards against a slow dial that carries a repeat past the time in which hosts would drop it.
-    if relay.send_by.is_some_and(|by| by <= Instant::now()) {
+    // Guards against a slow dial that carries a repeat past the time in which servers would drop it.
+    if attempt.send_by.is_some_and(|by| by <= Instant::now()) {
         return (Outcome::NotSent, None);
     }
     let mut written = false;
-    let until = relay.until;
+    let until = attempt.until;
     tokio::select! {
         biased;
-        _ = &mut relay.called_off => (Outcome::CalledOff, None),
-        end = send_and_read(stream, reader, &relay.envelope, until, &mut written) => end,
-        // Without its last byte the host cannot have started on it.
+        _ = &mut attempt.called_off => (Outcome::CalledOff, None),
+        end = send_and_read(stream, reader, &attempt.raw, until, &mut written) => end,
+        // Without its last byte the server cannot have started on it.
         _ = sleep_until(until) => (if written { Outcome::NoAnswer } else { Outcome::NoConnection }, None),
     }
 }
 
 async fn send_and_read(
-    stream: &mut TcpStream, reader: &mut Reader<Status>, envelope: &Envelope, until: Instant,
-    written: &mut bool,
+    stream: &mut TcpStream, reader: &mut Reader<Status>, raw: &RawRequest, until: Instant, written: &mut bool,
 ) -> (Outcome, Option<Whole<Status>>) {
     let left = until.saturating_duration_since(Instant::now()).as_millis();
-    let mut bytes = envelope
+    let mut bytes = raw
         .before
         .clone()
         .chain(Bytes::from(left.to_string()))
-        .chain(envelope.after.clone())
-        .chain(envelope.body.clone());
+        .chain(raw.after.clone())
+        .chain(raw.body.clone());
     if stream.write_all_buf(&mut bytes).await.is_err() {
         return (Outcome::NoConnection, None);
     }
@@ -300,7 +306,7 @@
         }
         let begun = reader.has_begun();
         let read = stream.read_buf(reader.buffer());
-        // Guards against a length that does not fit: what is missing never comes, and the host has answered.
+        // Guards against a length that does not fit: what is missing never comes, and the server has answered.
         match timeout(if begun { ANSWER_GAP } else { Duration::MAX }, read).await {
             Ok(Ok(read)) => ended = read == 0,
             Ok(Err(_)) => return (Outcome::ConnectionLost, None),
@@ -309,7 +315,7 @@
     }
 }
 
-/// What an answer says of whether the message has run.
+/// What an answer says of whether the request has run.
 fn outcome(answer: &Whole<Status>) -> Outcome {
     match answer.start.0 {
         200 => Outcome::Served,
@@ -319,7 +325,7 @@
 }
 
 /// Reads a load report: `util=0.5,qps=20`, or the same as a JSON object, as a probe's answer may hold it.
-/// Guards against a module that hears nothing: hosts write a value by the settings' name (`utilization`) or by
+/// Guards against a module that hears nothing: servers write a value by the settings' name (`utilization`) or by
 /// the operators' (`util`). What cannot be read, or is no number from 0 up, is left out: a report is advice.
 pub fn read_report(text: &str) -> Report {
     let mut report = Report::default();
--- a/gateway/tests/places.rs
+++ b/gateway/tests/budget.rs
@@ -1,6 +1,6 @@
-//! Who gives way when places are short: floods of silent, slow and idle connections beside usual clients.
+//! Who gives way when budget are short: floods of silent, slow and idle connections beside usual clients.
 use std::collections::{BTreeMap, HashMap};
-use ternstack_gateway::places::{Admission, ClientId, Doing, Places};
+use ternstack_gateway::budget::{Admission, Budget, ClientId, Doing};
 
 /// What a connection in the play is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -10,14 +10,14 @@
     Slow,
 }
 
-/// Plays connections against places, in whole milliseconds, and counts what became of whom.
+/// Plays connections against budget, in whole milliseconds, and counts what became of whom.
 struct Play {
-    places: Places,
+    budget: Budget,
     now: u64,
     who: HashMap<ClientId, Who>,
     next: BTreeMap<(u64, u64), (ClientId, Doing)>, // Due: what a connection does next.
     planned: u64,
-    pushed_out: BTreeMap<(Who, bool), u32>, // Who gave way; true if that was before or in the middle of a message.
+    pushed_out: BTreeMap<(Who, bool), u32>, // Who gave way; true if that was before or in the middle of a request.
     turned_away: BTreeMap<Who, u32>,
     served: u32,
     doing: HashMap<ClientId, Doing>,
@@ -26,7 +26,7 @@
 impl Play {
     fn new(budget: usize) -> Self {
         Play {
-            places: Places::new(budget),
+            budget: Budget::new(budget),
             now: 0,
             who: HashMap::new(),
             next: BTreeMap::new(),
@@ -44,11 +44,11 @@
     }
 
     fn connect(&mut self, who: Who) {
-        let id = match self.places.admit(self.now as f64) {
+        let id = match self.budget.admit(self.now as f64) {
             Admission::Taken(id) => id,
             Admission::InPlaceOf(id, other) => {
                 let unserved = self.doing[&other] != Doing::Idle;
-                assert_ne!(self.doing[&other], Doing::Open, "an open message gives way to nobody");
+                assert_ne!(self.doing[&other], Doing::Open, "an open request gives way to nobody");
                 *self.pushed_out.entry((self.who[&other], unserved)).or_default() += 1;
                 self.doing.remove(&other);
                 id
@@ -76,20 +76,20 @@
                 continue; // It has given way.
             }
             self.doing.insert(id, doing);
-            self.places.does(id, doing, self.now as f64);
+            self.budget.does(id, doing, self.now as f64);
             if doing == Doing::Open {
                 self.served += 1;
                 self.plan(30, id, Doing::Idle);
             }
         }
-        assert!(self.places.clients() <= self.places.clients_most().max(1));
+        assert!(self.budget.clients() <= self.budget.clients_most().max(1));
         let counted: usize =
-            [Doing::New, Doing::Reading, Doing::Open, Doing::Idle].map(|d| self.places.count(d)).iter().sum();
+            [Doing::New, Doing::Reading, Doing::Open, Doing::Idle].map(|d| self.budget.count(d)).iter().sum();
         assert_eq!(counted, self.doing.len());
     }
 }
 
-/// A hundred messages a second on new connections, each kept when it is done, beside so many others a second.
+/// A hundred requests a second on new connections, each kept when it is done, beside so many others a second.
 fn beside(others: Who, per_s: u64) -> Play {
     let mut play = Play::new(200);
     for ms in 0..5000 {
@@ -105,9 +105,9 @@
 }
 
 #[test]
-fn clients_that_keep_their_connections_push_out_no_connection_whose_message_is_on_its_way() {
+fn clients_that_keep_their_connections_push_out_no_connection_whose_request_is_on_its_way() {
     // The row of idle ones is full all the time. Were who has brought nothing yet to go first, each new connection
-    // would push out the one before it, whose message is on its way, and nobody else: incident rfd526e.
+    // would push out the one before it, whose request is on its way, and nobody else: incident rfd526e.
     let play = beside(Who::Usual, 400);
     assert_eq!(play.pushed_out.get(&(Who::Usual, true)), None);
     assert_eq!(play.turned_away.get(&Who::Usual), None);
@@ -127,64 +127,64 @@
             }
         }
     }
-    // Slow ones that fill all places hold them for half a second at most.
+    // Slow ones that fill all budget hold them for half a second at most.
     let play = beside(Who::Slow, 100);
     assert!(play.served >= 499, "{}", play.served);
 }
 
 #[test]
 fn each_side_has_its_floor_and_may_use_what_the_other_leaves() {
-    let mut places = Places::new(100);
-    assert_eq!(places.clients_most(), 75);
+    let mut budget = Budget::new(100);
+    assert_eq!(budget.clients_most(), 75);
     let clients: Vec<ClientId> = (0..75)
-        .map(|_| match places.admit(0.0) {
+        .map(|_| match budget.admit(0.0) {
             Admission::Taken(id) => id,
             other => panic!("{other:?}"),
         })
         .collect();
-    clients.iter().for_each(|id| places.does(*id, Doing::Open, 1.0));
-    assert_eq!(places.admit(1000.0), Admission::Full, "open messages give way to nobody");
-    assert_eq!((0..100).filter(|_| places.open_host()).count(), 25);
-    assert_eq!(places.make_room(1000.0), None);
+    clients.iter().for_each(|id| budget.does(*id, Doing::Open, 1.0));
+    assert_eq!(budget.admit(1000.0), Admission::Full, "open requests give way to nobody");
+    assert_eq!((0..100).filter(|_| budget.open_server()).count(), 25);
+    assert_eq!(budget.make_room(1000.0), None);
     // Hosts use what clients leave, and keep some room for their next connections.
-    clients[..50].iter().for_each(|id| assert!(places.leave(*id)));
-    assert_eq!((0..100).filter(|_| places.open_host()).count(), 50);
-    assert_eq!(places.clients_most(), 25);
-    places.does(clients[60], Doing::Idle, 2.0);
-    assert_eq!(places.make_room(1000.0), Some(clients[60]));
-    assert!(places.open_host() && !places.open_host());
-    (0..76).for_each(|_| places.close_host());
-    assert_eq!(places.clients_most(), 75);
-    assert!(!places.leave(clients[60]), "it has given way before");
-    places.does(clients[60], Doing::Open, 3.0);
-    assert_eq!(places.clients(), 24);
+    clients[..50].iter().for_each(|id| assert!(budget.leave(*id)));
+    assert_eq!((0..100).filter(|_| budget.open_server()).count(), 50);
+    assert_eq!(budget.clients_most(), 25);
+    budget.does(clients[60], Doing::Idle, 2.0);
+    assert_eq!(budget.make_room(1000.0), Some(clients[60]));
+    assert!(budget.open_server() && !budget.open_server());
+    (0..76).for_each(|_| budget.close_server());
+    assert_eq!(budget.clients_most(), 75);
+    assert!(!budget.leave(clients[60]), "it has given way before");
+    budget.does(clients[60], Doing::Open, 3.0);
+    assert_eq!(budget.clients(), 24);
 }
 
 #[test]
 fn clients_that_ask_once_and_keep_their_connection_leave_room_to_others() {
     // The clients' side holds a third of the descriptors at most. Idle ones that are kept for 2 s would fill it at
-    // 60 a second, and usual clients would get no connection though every host has room: incident rfd526e.
-    let mut places = Places::new(336);
+    // 60 a second, and usual clients would get no connection though every server has room: incident rfd526e.
+    let mut budget = Budget::new(336);
     let (mut ended, mut most) = (0, 0);
     for n in 0..600u32 {
         let now = f64::from(n) * 16.0;
-        let Admission::Taken(id) = places.admit(now) else { panic!("there is room") };
-        places.does(id, Doing::Open, now + 2.0);
-        places.does(id, Doing::Idle, now + 12.0);
-        while places.surplus(now + 12.0).is_some() {
+        let Admission::Taken(id) = budget.admit(now) else { panic!("there is room") };
+        budget.does(id, Doing::Open, now + 2.0);
+        budget.does(id, Doing::Idle, now + 12.0);
+        while budget.surplus(now + 12.0).is_some() {
             ended += 1;
         }
-        most = most.max(places.clients());
+        most = most.max(budget.clients());
     }
     assert!(most <= 336 / 8 + 1, "{most}");
-    assert_eq!(ended, 600 - places.clients());
+    assert_eq!(ended, 600 - budget.clients());
 
-    // Those that were busy a moment ago are left alone: their next message may be on its way.
-    let mut places = Places::new(80);
+    // Those that were busy a moment ago are left alone: their next request may be on its way.
+    let mut budget = Budget::new(80);
     for n in 0..30u32 {
-        let Admission::Taken(id) = places.admit(0.0) else { panic!("there is room") };
-        places.does(id, Doing::Idle, f64::from(n));
+        let Admission::Taken(id) = budget.admit(0.0) else { panic!("there is room") };
+        budget.does(id, Doing::Idle, f64::from(n));
     }
-    assert_eq!(places.surplus(60.0), None);
-    assert_eq!((places.surplus(101.0).is_some(), places.surplus(101.5).is_some()), (true, true));
+    assert_eq!(budget.surplus(60.0), None);
+    assert_eq!((budget.surplus(101.0).is_some(), budget.surplus(101.5).is_some()), (true, true));
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Small peers on loopback: a client, south side hosts, discovery, and a gateway between them.
+//! Small peers on loopback: a client, servers, discovery, and a gateway between them.
 #![allow(dead_code)]
 
 use serde_json::{json, Value};
@@ -15,12 +15,12 @@
 /// Far longer than anything here takes: a test that hangs ends, and none depends on speed.
 pub const LONG: Duration = Duration::from_secs(60);
 
-/// The next whole message of a connection; `None` if it ends first.
+/// The next whole request of a connection; `None` if it ends first.
 pub async fn next<S: Start>(stream: &mut TcpStream, reader: &mut Reader<S>) -> Option<Whole<S>> {
     let mut ended = false;
     loop {
         match reader.next(ended) {
-            Ok(Some(message)) => return Some(message),
+            Ok(Some(request)) => return Some(request),
             Ok(None) if !ended => {}
             _ => return None,
         }
@@ -28,11 +28,11 @@
     }
 }
 
-pub fn field<S>(message: &Whole<S>, name: &str) -> String {
-    message.fields.text(name).unwrap_or("").to_string()
+pub fn field<S>(request: &Whole<S>, name: &str) -> String {
+    request.fields.text(name).unwrap_or("").to_string()
 }
 
-/// What a host does with a message.
+/// What a server does with a request.
 #[derive(Clone, Copy)]
 pub enum Does {
     Answer(&'static str),
@@ -47,20 +47,20 @@
 pub const TURNED_AWAY: Does =
     Does::Answer("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
 
-/// What a host has seen.
+/// What a server has seen.
 pub enum Seen {
     Connected,
-    Message(Whole<Ask>),
+    Request(Whole<Ask>),
     Ended,
 }
 
-pub struct Host {
+pub struct Server {
     pub at: SocketAddr,
     pub seen: mpsc::UnboundedReceiver<Seen>,
 }
 
-impl Host {
-    /// A host that does the same with every message.
+impl Server {
+    /// A server that does the same with every request.
     pub async fn start(does: Does) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let at = listener.local_addr().expect("an address");
@@ -72,7 +72,7 @@
                 tokio::spawn(async move {
                     let mut reader = Reader::new(MAX_BODY);
                     while let Some(ask) = next::<Ask>(&mut stream, &mut reader).await {
-                        let _ = tell.send(Seen::Message(ask));
+                        let _ = tell.send(Seen::Request(ask));
                         match does {
                             Does::Answer(text) => drop(stream.write_all(text.as_bytes()).await),
                             Does::AnswerAndClose(text) => {
@@ -88,19 +88,19 @@
                 });
             }
         });
-        Host { at, seen }
+        Server { at, seen }
     }
 
     pub async fn next(&mut self) -> Seen {
-        timeout(LONG, self.seen.recv()).await.expect("something is seen").expect("the host runs")
+        timeout(LONG, self.seen.recv()).await.expect("something is seen").expect("the server runs")
     }
 
-    /// The ids of all messages seen so far, and the number of connections.
+    /// The ids of all requests seen so far, and the number of connections.
     pub fn so_far(&mut self) -> (Vec<String>, usize) {
         let (mut ids, mut connections) = (Vec::new(), 0);
         while let Ok(seen) = self.seen.try_recv() {
             match seen {
-                Seen::Message(ask) => ids.push(field(&ask, "x-correlation-id")),
+                Seen::Request(ask) => ids.push(field(&ask, "x-correlation-id")),
                 Seen::Connected => connections += 1,
                 Seen::Ended => {}
             }
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -4,7 +4,7 @@
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use ternstack_gateway::config::Config;
 use ternstack_gateway::http1::{Ask, Malformed, Reader, Start, Status, Whole, MAX_BODY, MAX_HEAD};
-use ternstack_gateway::messages::Inventory;
+use ternstack_gateway::requests::EndpointList;
 
 const ASKS: &str = "GET /api?desk=4 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: 9b1f\r\n\r\n\
     POST /api HTTP/1.1\r\nX-Correlation-Id: 77\r\nContent-Length: 11\r\n\r\nhello there\
@@ -96,14 +96,14 @@
 
 #[test]
 fn lists_and_configurations_survive_garbage() {
-    let list = Inventory::from_slice(LIST.as_bytes()).expect("a valid list");
+    let list = EndpointList::from_slice(LIST.as_bytes()).expect("a valid list");
     assert_eq!((list.rev, list.all, list.targets[0].pod_group), (41, true, 3));
     check(6, |(spoils, end): (Vec<(usize, u8)>, usize)| {
         let bytes = spoilt(LIST, &spoils[..spoils.len().min(3)]);
         let cut = end % bytes.len();
         let config = Config::read(&String::from_utf8_lossy(&bytes), |_| None);
-        let _ = Inventory::from_slice(&bytes);
-        Inventory::from_slice(&bytes[..cut]).is_err() && config.is_err()
+        let _ = EndpointList::from_slice(&bytes);
+        EndpointList::from_slice(&bytes[..cut]).is_err() && config.is_err()
     });
     for (old, new) in [
         ("SERVING", "NAPPING"),
@@ -114,7 +114,7 @@
     ] {
         let text = LIST.replace(old, new);
         assert_ne!(text, LIST);
-        assert!(Inventory::from_slice(text.as_bytes()).is_err(), "{new}");
+        assert!(EndpointList::from_slice(text.as_bytes()).is_err(), "{new}");
     }
 }
 
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -1,4 +1,4 @@
-//! The parts by themselves: how relays end, the clock, the configuration, and the program.
+//! The parts by themselves: how attempts end, the clock, the configuration, and the program.
 
 mod common;
 use bytes::Bytes;
@@ -9,28 +9,28 @@
 use ternstack::{Outcome, Report, RequestId, ServerId};
 use ternstack_gateway::clock::Clock;
 use ternstack_gateway::config::Config;
-use ternstack_gateway::doors::Doors;
-use ternstack_gateway::messages::{Envelope, Input, RelayEnd};
-use ternstack_gateway::relay::{read_report, Errand, Relay, SouthSide};
+use ternstack_gateway::descriptors::Descriptors;
+use ternstack_gateway::requests::{AttemptDone, Input, RawRequest};
+use ternstack_gateway::upstream::{read_report, Attempt, Errand, Upstream};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout, Instant};
 
-/// A way to the south with its queue.
-struct South {
-    side: SouthSide,
+/// A way to the upstream with its queue.
+struct Upstreams {
+    side: Upstream,
     inputs: mpsc::Receiver<Input>,
     number: u32,
     life: std::sync::Arc<()>,
     send_by: Option<Instant>,
 }
 
-impl South {
+impl Upstreams {
     fn new(most: usize, idle_ms: f64) -> Self {
         let (queue, inputs) = mpsc::channel(16);
-        South {
-            side: SouthSide::new(queue, Doors::new(most), idle_ms, Duration::from_secs(20)),
+        Upstreams {
+            side: Upstream::new(queue, Descriptors::new(most), idle_ms, Duration::from_secs(20)),
             inputs,
             number: 0,
             life: std::sync::Arc::new(()),
@@ -38,31 +38,31 @@
         }
     }
 
-    fn start(&mut self, host: std::net::SocketAddr, patience: Duration) -> oneshot::Sender<()> {
+    fn start(&mut self, address: std::net::SocketAddr, patience: Duration) -> oneshot::Sender<()> {
         let (call_off, called_off) = oneshot::channel();
-        let envelope = Envelope {
+        let raw = RawRequest {
             before: Bytes::from_static(b"GET /api HTTP/1.1\r\nX-Correlation-Id: a\r\nX-Time-Left-Ms: "),
             after: Bytes::from_static(b"\r\n\r\n"),
             body: Bytes::new(),
         };
-        let errand = Errand::Message { id: RequestId(7), number: self.number };
+        let errand = Errand::Request { id: RequestId(7), number: self.number };
         let until = Instant::now() + patience;
         self.number += 1;
-        let (server, life) = (ServerId(u32::from(host.port())), std::sync::Arc::downgrade(&self.life));
+        let (server, life) = (ServerId(u32::from(address.port())), std::sync::Arc::downgrade(&self.life));
         let send_by = self.send_by;
-        self.side.start(Relay { errand, server, life, host, envelope, until, send_by, called_off });
+        self.side.start(Attempt { errand, server, life, address, raw, until, send_by, called_off });
         call_off
     }
 
-    async fn end(&mut self) -> RelayEnd {
+    async fn end(&mut self) -> AttemptDone {
         match timeout(LONG, self.inputs.recv()).await.expect("an end") {
-            Some(Input::RelayEnd(end)) => end,
+            Some(Input::AttemptDone(end)) => end,
             other => panic!("{other:?}"),
         }
     }
 
-    async fn outcome(&mut self, host: std::net::SocketAddr, patience: Duration) -> (Outcome, Report) {
-        let _call_off = self.start(host, patience);
+    async fn outcome(&mut self, address: std::net::SocketAddr, patience: Duration) -> (Outcome, Report) {
+        let _call_off = self.start(address, patience);
         let end = self.end().await;
         assert_eq!(end.number + 1, self.number);
         assert_eq!(end.answer.is_some(), end.outcome == Outcome::Served);
@@ -71,7 +71,7 @@
 }
 
 #[tokio::test]
-async fn every_way_a_relay_can_end_has_its_outcome_and_its_report() {
+async fn every_way_an_attempt_can_end_has_its_outcome_and_its_report() {
     let report = |u, t| Report { utilization: u, throughput: t, backlog: None };
     let none = Report::default();
     for (does, outcome, told) in [
@@ -114,75 +114,75 @@
         (Does::Close, Outcome::ConnectionLost, none),
         (Does::Nothing, Outcome::NoAnswer, none),
     ] {
-        let host = Host::start(does).await;
+        let server = Server::start(does).await;
         let patience = if outcome == Outcome::NoAnswer { Duration::from_secs(1) } else { LONG };
-        let (seen, report) = South::new(4, 30_000.0).outcome(host.at, patience).await;
+        let (seen, report) = Upstreams::new(4, 30_000.0).outcome(server.at, patience).await;
         assert_eq!((seen, report), (outcome, told));
     }
     let free = TcpListener::bind("127.0.0.1:0").await.expect("a port").local_addr().expect("it");
-    assert_eq!(South::new(4, 30_000.0).outcome(free, LONG).await.0, Outcome::NoConnection);
+    assert_eq!(Upstreams::new(4, 30_000.0).outcome(free, LONG).await.0, Outcome::NoConnection);
 
     // A repeat whose time is over when its connection is up is not sent.
-    let mut host = Host::start(SERVED).await;
-    let mut late = South::new(4, 30_000.0);
+    let mut server = Server::start(SERVED).await;
+    let mut late = Upstreams::new(4, 30_000.0);
     late.send_by = Some(Instant::now());
-    assert_eq!(late.outcome(host.at, LONG).await.0, Outcome::NotSent);
-    assert!(matches!((host.next().await, host.next().await), (Seen::Connected, Seen::Ended)));
+    assert_eq!(late.outcome(server.at, LONG).await.0, Outcome::NotSent);
+    assert!(matches!((server.next().await, server.next().await), (Seen::Connected, Seen::Ended)));
 
-    let mut host = Host::start(Does::Nothing).await;
-    let mut south = South::new(4, 30_000.0);
-    let call_off = south.start(host.at, LONG);
-    while !matches!(host.next().await, Seen::Message(_)) {}
+    let mut server = Server::start(Does::Nothing).await;
+    let mut upstream = Upstreams::new(4, 30_000.0);
+    let call_off = upstream.start(server.at, LONG);
+    while !matches!(server.next().await, Seen::Request(_)) {}
     call_off.send(()).expect("it is out");
-    assert_eq!(south.end().await.outcome, Outcome::CalledOff);
+    assert_eq!(upstream.end().await.outcome, Outcome::CalledOff);
     // An answer may still be due on that connection: it is closed.
-    while !matches!(host.next().await, Seen::Ended) {}
+    while !matches!(server.next().await, Seen::Ended) {}
 }
 
 #[tokio::test]
 async fn connections_stay_under_the_most_and_end_before_they_have_been_idle_too_long() {
     let (mut quick, mut other, mut slow) =
-        (Host::start(SERVED).await, Host::start(SERVED).await, Host::start(Does::Nothing).await);
-    let mut south = South::new(2, 30_000.0);
-    let _first = south.start(slow.at, LONG);
-    while !matches!(slow.next().await, Seen::Message(_)) {}
-    assert_eq!(south.outcome(quick.at, LONG).await.0, Outcome::Served);
-    south.number = 2;
-    // The idle connection makes room for one to another host.
-    assert_eq!(south.outcome(other.at, LONG).await.0, Outcome::Served);
+        (Server::start(SERVED).await, Server::start(SERVED).await, Server::start(Does::Nothing).await);
+    let mut upstream = Upstreams::new(2, 30_000.0);
+    let _first = upstream.start(slow.at, LONG);
+    while !matches!(slow.next().await, Seen::Request(_)) {}
+    assert_eq!(upstream.outcome(quick.at, LONG).await.0, Outcome::Served);
+    upstream.number = 2;
+    // The idle connection makes room for one to another server.
+    assert_eq!(upstream.outcome(other.at, LONG).await.0, Outcome::Served);
     while !matches!(quick.next().await, Seen::Ended) {}
-    // With none idle, nothing is sent, and no host is blamed.
-    let _second = south.start(slow.at, LONG);
-    while !matches!(slow.next().await, Seen::Message(_)) {}
-    assert_eq!(south.outcome(quick.at, LONG).await.0, Outcome::NotSent);
+    // With none idle, nothing is sent, and no server is blamed.
+    let _second = upstream.start(slow.at, LONG);
+    while !matches!(slow.next().await, Seen::Request(_)) {}
+    assert_eq!(upstream.outcome(quick.at, LONG).await.0, Outcome::NotSent);
     assert_eq!((quick.so_far().1, other.so_far().1), (0, 1));
 
-    let mut brief = South::new(2, 100.0);
-    let mut host = Host::start(SERVED).await;
-    assert_eq!(brief.outcome(host.at, LONG).await.0, Outcome::Served);
-    while !matches!(host.next().await, Seen::Ended) {}
+    let mut brief = Upstreams::new(2, 100.0);
+    let mut server = Server::start(SERVED).await;
+    assert_eq!(brief.outcome(server.at, LONG).await.0, Outcome::Served);
+    while !matches!(server.next().await, Seen::Ended) {}
 }
 
 #[tokio::test]
-async fn a_host_that_started_anew_inherits_no_connection() {
-    let mut host = Host::start(SERVED).await;
-    let mut south = South::new(4, 30_000.0);
-    let _out = south.start(host.at, LONG);
-    // Its present life ends while a relay is out there: that one's connection carries nothing more.
-    south.life = std::sync::Arc::new(());
-    assert_eq!(south.end().await.outcome, Outcome::Served);
-    assert_eq!(south.outcome(host.at, LONG).await.0, Outcome::Served);
+async fn a_server_that_started_anew_inherits_no_connection() {
+    let mut server = Server::start(SERVED).await;
+    let mut upstream = Upstreams::new(4, 30_000.0);
+    let _out = upstream.start(server.at, LONG);
+    // Its present life ends while an attempt is out there: that one's connection carries nothing more.
+    upstream.life = std::sync::Arc::new(());
+    assert_eq!(upstream.end().await.outcome, Outcome::Served);
+    assert_eq!(upstream.outcome(server.at, LONG).await.0, Outcome::Served);
     // The end of the first and the beginning of the second may be seen in either order.
     let (mut ended, mut connected) = (false, 0);
     while !ended || connected < 2 {
-        match host.next().await {
+        match server.next().await {
             Seen::Ended => ended = true,
             Seen::Connected => connected += 1,
             _ => {}
         }
     }
-    assert_eq!(south.outcome(host.at, LONG).await.0, Outcome::Served);
-    assert_eq!(host.so_far().1, 0, "the second connection is used again");
+    assert_eq!(upstream.outcome(server.at, LONG).await.0, Outcome::Served);
+    assert_eq!(server.so_far().1, 0, "the second connection is used again");
 }
 
 #[tokio::test(start_paused = true)]
@@ -349,11 +349,11 @@
     assert!(odd.set_nodelay(true).is_err(), "the option is taken: this test shows nothing");
     let odd = tokio::net::TcpStream::from_std(odd).expect("a stream");
     let mut stream = ternstack_gateway::sockets::opened(Ok(odd)).expect("a connection that goes on");
-    stream.write_all(b"relay").await.expect("written");
+    stream.write_all(b"attempt").await.expect("written");
     drop(stream);
     let mut read = String::new();
     std::io::Read::read_to_string(&mut &theirs, &mut read).expect("read");
-    assert_eq!(read, "relay");
+    assert_eq!(read, "attempt");
 }
 
 #[test]
