--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 EXPERIMENT ?= lab/experiments/jam.toml
 OUT ?= found
 
-.PHONY: build test lint run lab bench
+.PHONY: build test lint run lab bench sites
 
 build:
 	cargo build --release --workspace --locked
@@ -23,3 +23,9 @@
 
 bench:
 	cargo bench --locked -p ternstack-lab
+
+# Lays links to the bench's own files beside the variants; they are not the project's, and git does not keep them.
+# BENCH_SITES is the bench's folder that holds them: make sites BENCH_SITES=path/to/sites
+sites:
+	test -f "$(BENCH_SITES)/wire.json"
+	for file in real.json wire.json unlock.txt; do ln -sfn "$(abspath $(BENCH_SITES))/$$file" deploy/sites/$$file; done
