Follow pushed lists from the start, and call discovery again before 6 s are over

Cause 1: with discovery=push nothing ever opened a watch. The module asks only where ask_discovery is set (on_list, WarmCopy), and follow() waits for its word; no log had a line 'watching discovery'. Cause 2, by reckoning: a failed call was followed after up to 7.5 s in a large fleet (CALL_MS x instances, x 0.5 to 1.5), a silent one after 4.5 s + 1 s.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -66,6 +66,10 @@
     // A known list of any revision, 0 too, saves discovery the whole one.
     let held = (servers > 0).then_some(rev);
     let turn = discovery::turn(site.balancer.me, site.balancer.instances);
+    if !site.balancer.ask_discovery {
+        // Guards against pushed lists that nobody reads: on sockets a watch is what they come on.
+        watch_wanted.try_send(()).map_err(|e| format!("discovery: {e}"))?;
+    }
     let decider = Decider::new(site.clone(), seed, known, upstream, watch_wanted)?;
     let front = Front::new(site, queue.clone(), phase_now, descriptors);
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -57,8 +57,9 @@
 const ODD_PATIENCE: f64 = 0.05; // A patience further than this part of the deadline from the usual is odd.
 const TRIES: f64 = 3.0; // So many usual waits a client has behind it at most, before its last try.
 const USUAL_VOTES: f64 = 50.0; // The usual patience yields once odd ones outnumber it by so many.
-pub(crate) const WATCH_MS: f64 = 200.0; // First pause before subscribing anew, doubled and jittered.
-const CALL_MS: f64 = 50.0; // Discovery is one for all: gateways spread their calls, so far apart on the mean.
+const WATCH_MS: f64 = 200.0; // The shortest pause before subscribing anew, jittered.
+const CALL_MS: f64 = 50.0; // Discovery is one for all: gateways spread their calls, so far apart,
+const CALLS_MS: f64 = 2000.0; // yet all within this time: what is missed counts as told after 6 s.
 pub(crate) const WAKE_MS: f64 = 10.0; // Held requests and probes are looked after this often.
 pub(crate) const LOG_MS: f64 = 5000.0; // Refusals are summed up in a log line at most this often.
 
@@ -707,21 +708,20 @@
         }
     }
 
-    /// Within what time all gateways' calls to discovery are spread: a list may be so old at the start.
+    /// Within what time all gateways' calls to discovery are spread, where they have one for all.
     fn spread(&self) -> f64 {
-        (CALL_MS * f64::from(self.settings.instances - 1)).min(self.settings.ask_within_ms / 2.0)
+        let others = if self.settings.ask_discovery { self.settings.instances - 1 } else { 0 };
+        (CALL_MS * f64::from(others)).min(self.settings.ask_within_ms / 2.0).min(CALLS_MS)
     }
 
     pub(crate) fn on_list(
         &mut self, now: f64, kind: ListKind, members: Vec<Member>, actions: &mut Vec<Action>,
     ) {
         if kind == ListKind::Lost {
-            let pause = self.watch_pause.max(self.spread()) * (0.5 + self.rng.rand_float());
-            self.watch_pause = (self.watch_pause * 2.0).min(self.settings.ask_within_ms / 8.0);
+            let pause = WATCH_MS.max(self.spread()) * (0.5 + 0.5 * self.rng.rand_float());
             self.watch_at = Some(now + pause);
             return;
         }
-        self.watch_pause = WATCH_MS;
         if kind == ListKind::WarmCopy && self.settings.ask_discovery {
             // Guards against a line at discovery that no gateway gets through when all start at once.
             match self.spread() * self.rng.rand_float() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,7 +119,6 @@
     pub(crate) trust: f64,   // TRUST once anything tells of crowds.
     pub(crate) spill: f64,   // The part of the requests that goes to other zones, as last learnt.
     pub(crate) spill_at: f64,
-    pub(crate) watch_pause: f64,
     pub(crate) watch_at: Option<f64>,
     pub(crate) refused: [u32; 4], // Since the last line, by cause.
     pub(crate) logged_at: f64,
@@ -151,7 +150,6 @@
             trust: if settings.live_weights { TRUST } else { 0.0 },
             spill: FIRST_SPILL,
             spill_at: 0.0,
-            watch_pause: WATCH_MS,
             watch_at: None,
             refused: [0; 4],
             logged_at: 0.0,
