Answer what is owed as connections end: after a half close, in a flood, on eviction, at the end

(2) a client that had only ended its sending side got no answer. (3) idle and evicted connections were closed over bytes that had just come, which resets them; they are half closed and read on. A half-read request that gives way gets a refusal. (4) at the end requests were taken up to LAST - deadline past the moment of SIGKILL, and connections in the listener's queue were reset with what they had brought: 700 ms after SIGTERM the listener accepts what waits and closes, and what still comes is refused. (5) a request that waits for the queue was taken after its client had left.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 use config::Config;
 use decide::Decider;
 use descriptors::Descriptors;
-use listener::{Front, Phase, SPARE};
+use listener::{Front, Phase, ENDING, SPARE};
 use requests::QUEUE;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -37,14 +37,15 @@
 use tracing::{info, warn};
 use upstream::Upstream;
 
-/// Descriptors that are no client's and no server's: the listener, discovery, the runtime, the log, some spare.
-const OWN_SOCKETS: usize = 24;
+/// Descriptors that are no client's and no server's: the listener, discovery, the runtime, the log, connections that
+/// gave way and are ending, some spare.
+const OWN_SOCKETS: usize = 16 + ENDING;
 /// Once the gateway is told to stop, new connections come for so long, with a little to spare.
 const NEW_COME: Duration = Duration::from_millis(550);
 /// After idle connections have ended, a request that crossed such an end has so long to come again.
 const COME_AGAIN: Duration = Duration::from_millis(150);
-/// All must be over this long after the longest deadline.
-const LAST: Duration = Duration::from_millis(600);
+/// All must be over this long after the longest deadline, counted from the last moment in which a request is taken.
+const LAST: Duration = Duration::from_millis(500);
 
 /// Serves until `told` to stop, and then until nothing is owed. `discovery` tells where discovery answers now.
 /// It needs a current-thread runtime.
@@ -83,18 +84,24 @@
         _ = &mut deciding => return Err("the deciding task has ended".into()),
     }
 
-    let last = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + LAST;
     info!("stopping");
     phase.send_replace(Phase::Stopping);
     sleep(NEW_COME).await;
     phase.send_replace(Phase::Closing);
     // Guards against leaving a client alone whose request crossed the end of an idle connection.
     sleep(COME_AGAIN).await;
+    // What comes from here on might not be answered before the process is killed, so it is not taken.
+    phase.send_replace(Phase::Refusing);
+    let last = Instant::now() + Duration::from_secs_f64(longest / 1000.0) + LAST;
     tokio::select! {
-        () = front.empty() => info!("nothing is owed"),
+        () = async {
+            // A task that fails has dropped its listener as well.
+            let _ = accepting.await;
+            front.empty().await;
+        } => info!("nothing is owed"),
         () = sleep_until(last) => warn!("out of time with connections still open"),
     }
-    for task in [deciding, following, accepting] {
+    for task in [deciding, following] {
         task.abort();
     }
     Ok(())
--- a/gateway/src/listener.rs
+++ b/gateway/src/listener.rs
@@ -35,8 +35,13 @@
 /// So many bytes are read at once in that time, with a pause after each, lest a flood cost the others their CPU.
 const LINGER_BYTES: usize = 64 * 1024;
 const LINGER_PAUSE: Duration = Duration::from_millis(5);
-/// What a client sends while its request is open is kept up to so many bytes.
+/// What a client sends while its request is open is kept up to so many bytes; what comes beyond is read and thrown
+/// away, so that its leaving is noticed, and the connection ends with the answer.
 const EARLY: usize = 4 * 1024;
+/// A client that sends more than so much beyond its request does not wait for the answer: it counts as having left.
+const FLOOD: usize = 1 << 20;
+/// The pause after each piece of what is thrown away, lest a flood cost the others their CPU.
+const FLOOD_PAUSE: Duration = Duration::from_millis(1);
 /// A connection that comes while the gateway closes has so long to send its request.
 const LATE_COMER: Duration = Duration::from_millis(100);
 /// The pause after a failed accept.
@@ -45,6 +50,8 @@
 const WARN_PAUSE: Duration = Duration::from_secs(5);
 /// So many clients past the budget are taken in for a refusal.
 pub const SPARE: usize = 24;
+/// So many connections that gave way may still be read on for a moment while they end.
+pub const ENDING: usize = 8;
 
 const ID: &str = "X-Correlation-Id";
 const CLASS: &str = "X-Service-Class";
@@ -61,6 +68,8 @@
     Stopping,
     /// It ends connections that stand idle.
     Closing,
+    /// It accepts nobody any more, and refuses what still comes on connections that it has.
+    Refusing,
 }
 
 /// What all connections of this front share.
@@ -71,6 +80,7 @@
     last: AtomicU64,
     descriptors: Arc<Descriptors>,
     spare: Arc<Semaphore>,
+    ending: Semaphore,
     live: AtomicUsize,
     ids: Mutex<HashSet<Bytes>>,
     refusal_ms: f64,
@@ -129,13 +139,33 @@
             last: AtomicU64::new(0),
             descriptors,
             spare: Arc::new(Semaphore::new(SPARE)),
+            ending: Semaphore::new(ENDING),
             live: AtomicUsize::new(0),
             ids: Mutex::default(),
         })
     }
 
-    /// Accepts clients for as long as the gateway runs.
+    /// Accepts clients until the gateway accepts nobody any more. Guards against connections that are up and not
+    /// accepted when the listener goes: they would be reset with the requests that they brought.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
+        let mut phase = self.phase.clone();
+        tokio::select! {
+            () = self.accept_all(&listener) => {}
+            // The sender lives as long as the program.
+            _ = phase.wait_for(|phase| *phase >= Phase::Refusing) => {}
+        }
+        let waiting = listener.into_std().map(|listener| std::iter::from_fn(move || listener.accept().ok()));
+        for (stream, _) in waiting.into_iter().flatten() {
+            let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            match (opened(stream), self.spare.clone().try_acquire_owned()) {
+                (Ok(stream), Ok(spare)) => drop(self.enter(stream, spare)),
+                (Err(e), _) => debug!("client: {e}"),
+                (_, Err(_)) => warn!("too many clients at the end: one is left without an answer"),
+            }
+        }
+    }
+
+    async fn accept_all(self: &Arc<Self>, listener: &TcpListener) {
         let mut warned: Option<Instant> = None;
         loop {
             // Guards against clients that wait unheard: where there is no descriptor and nobody gives way, a few more
@@ -143,20 +173,7 @@
             let Ok(spare) = self.spare.clone().acquire_owned().await else { return };
             match opened(listener.accept().await.map(|(stream, _)| stream)) {
                 Ok(stream) => {
-                    let (entry, made_room) = match self.descriptors.enter() {
-                        Some((descriptor, ended, made_room)) => {
-                            (Entry::Descriptor(descriptor, ended), made_room)
-                        }
-                        None => (Entry::Spare(spare), false),
-                    };
-                    // Counted before its task runs: a gateway that ends must not take it for nobody.
-                    let live = Live::new(self.clone());
-                    tokio::spawn(async move {
-                        if let Err(e) = live.0.serve(stream, entry).await {
-                            debug!("client: {e}");
-                        }
-                    });
-                    if made_room {
+                    if self.enter(stream, spare) {
                         // Guards against holding more than there may be: who gives way ends before the next comes.
                         tokio::task::yield_now().await;
                     }
@@ -174,6 +191,22 @@
         }
     }
 
+    /// Takes a client in; true if another one has given way, which has yet to end.
+    fn enter(self: &Arc<Self>, stream: TcpStream, spare: OwnedSemaphorePermit) -> bool {
+        let (entry, made_room) = match self.descriptors.enter() {
+            Some((descriptor, ended, made_room)) => (Entry::Descriptor(descriptor, ended), made_room),
+            None => (Entry::Spare(spare), false),
+        };
+        // Counted before its task runs: a gateway that ends must not take it for nobody.
+        let live = Live::new(self.clone());
+        tokio::spawn(async move {
+            if let Err(e) = live.0.serve(stream, entry).await {
+                debug!("client: {e}");
+            }
+        });
+        made_room
+    }
+
     /// Takes an id for a request; `None` while another open request bears it.
     fn take_id(&self, id: Bytes) -> Option<OpenId<'_>> {
         let free = held(&self.ids).insert(id.clone());
@@ -208,17 +241,19 @@
             if reader.is_idle() {
                 let first = tokio::select! {
                     biased;
-                    read = stream.read_buf(reader.buffer()) => read?,
+                    read = stream.read_buf(reader.buffer()) => Some(read?),
                     () = async {
                         // The sender lives as long as the program.
-                        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+                        let _ = phase.wait_for(|phase| *phase >= Phase::Closing).await;
                         sleep_until(accepted + LATE_COMER).await;
-                    } => 0,
-                    () = gone(&mut given_away) => 0,
-                    () = sleep(IDLE_TIME) => 0,
+                    } => None,
+                    () = gone(&mut given_away) => None,
+                    () = sleep(IDLE_TIME) => None,
                 };
-                if first == 0 {
-                    return Ok(());
+                match first {
+                    Some(0) => return Ok(()),
+                    Some(_) => {}
+                    None => return self.end(&mut stream, descriptor.is_ok_and(|d| d.is_lost())).await,
                 }
             }
             does(Doing::Reading);
@@ -226,31 +261,38 @@
             served = true;
             let asked = tokio::select! {
                 biased;
-                asked = timeout_at(until, read(&mut stream, &mut reader)) => asked,
+                asked = timeout_at(until, read(&mut stream, &mut reader)) => Some(asked),
                 // Too slow for times in which descriptors are short.
-                () = gone(&mut given_away) => return Ok(()),
+                () = gone(&mut given_away) => None,
             };
             let (wording, keep_alive) = match asked {
-                Ok(Ok(Some(ask))) => {
+                None => {
+                    // Guards against a close without an answer: the rest of the request may have come by now.
+                    let refusal = Answer::Refused { retry_after_ms: self.refusal_ms };
+                    write(&mut stream, refusal.word(false)).await?;
+                    return self.end(&mut stream, true).await;
+                }
+                Some(Ok(Ok(Some(ask)))) => {
                     does(Doing::Open);
                     let keep_alive = ask.keep_alive && !full;
-                    let Some(answered) = self.answered(ask, &mut stream, &mut reader, full).await? else {
-                        return Ok(());
-                    };
+                    let mut left = false;
+                    let answered = self.answered(ask, &mut stream, &mut reader, full, &mut left).await;
                     // A bad request ends the connection; and the phase may have changed meanwhile.
                     let bad = matches!(answered, Err(Plain::Bad(_) | Plain::Method));
                     let lost = descriptor.as_ref().is_ok_and(Descriptor::is_lost);
-                    let keep_alive = keep_alive && !bad && !lost && self.phase() == Phase::Serving;
+                    // Nor is anything more taken from one that has left or flooded.
+                    let over = bad || lost || left || reader.buffer().len() >= EARLY;
+                    let keep_alive = keep_alive && !over && self.phase() == Phase::Serving;
                     let wording = match answered {
                         Ok(answer) => answer.word(keep_alive),
                         Err(plain) => plain.word(keep_alive),
                     };
                     (wording, keep_alive)
                 }
-                Ok(Ok(None)) => return Ok(()),
-                Ok(Err(ReadError::Malformed(malformed))) => (Plain::from(malformed).word(false), false),
-                Ok(Err(ReadError::Io(e))) => return Err(e),
-                Err(_) => (Plain::TooSlow.word(false), false),
+                Some(Ok(Ok(None))) => return Ok(()),
+                Some(Ok(Err(ReadError::Malformed(malformed)))) => (Plain::from(malformed).word(false), false),
+                Some(Ok(Err(ReadError::Io(e)))) => return Err(e),
+                Some(Err(_)) => (Plain::TooSlow.word(false), false),
             };
             write(&mut stream, wording).await?;
             if !keep_alive {
@@ -260,44 +302,60 @@
         }
     }
 
-    /// The answer to a request; `None` if its client has left.
+    /// Ends a connection on which nothing is owed. Guards against a reset, which a request that crosses the end would
+    /// meet. One whose descriptor is given away holds another for that, as far as there are any.
+    async fn end(&self, stream: &mut TcpStream, given_away: bool) -> io::Result<()> {
+        let room = given_away.then(|| self.ending.try_acquire());
+        match room {
+            Some(Err(_)) => Ok(()),
+            _held => linger(stream).await,
+        }
+    }
+
+    /// The answer to a request, to be written even if its client has `gone`: one that has only ended its sending side
+    /// still reads.
     async fn answered(
-        &self, ask: Whole<Ask>, stream: &mut TcpStream, reader: &mut Reader<Ask>, full: bool,
-    ) -> io::Result<Option<Result<Answer, Plain>>> {
+        &self, ask: Whole<Ask>, stream: &mut TcpStream, reader: &mut Reader<Ask>, full: bool, gone: &mut bool,
+    ) -> Result<Answer, Plain> {
         let path = ask.target().split(|b| *b == b'?').next().unwrap_or_default();
         match (path, ask.method()) {
-            (b"/ready", b"GET") if self.phase() == Phase::Serving => return Ok(Some(Err(Plain::Ready))),
-            (b"/ready", b"GET") => return Ok(Some(Err(Plain::Stopping))),
+            (b"/ready", b"GET") if self.phase() == Phase::Serving => return Err(Plain::Ready),
+            (b"/ready", b"GET") => return Err(Plain::Stopping),
             (b"/api", b"GET" | b"POST") => {}
-            (b"/ready" | b"/api", _) => return Ok(Some(Err(Plain::Method))),
-            _ => return Ok(Some(Err(Plain::NotFound))),
+            (b"/ready" | b"/api", _) => return Err(Plain::Method),
+            _ => return Err(Plain::NotFound),
         }
-        let (answer_to, answer) = oneshot::channel();
-        let request = match self.request(&ask, answer_to) {
-            Ok(request) => request,
-            Err(why) => return Ok(Some(Err(Plain::Bad(why)))),
-        };
-        if full {
-            return Ok(Some(Ok(Answer::Refused { retry_after_ms: self.refusal_ms })));
+        let (answer_to, mut answer) = oneshot::channel();
+        let request = self.request(&ask, answer_to).map_err(Plain::Bad)?;
+        let refused = Answer::Refused { retry_after_ms: self.refusal_ms };
+        if full || self.phase() == Phase::Refusing {
+            return Ok(refused);
         }
         // Guards against an id that is in use: no answer could be told from the other's.
-        let Some(_open) = ask.fields.bytes(ID).and_then(|id| self.take_id(id)) else {
-            return Ok(Some(Err(Plain::Bad("X-Correlation-Id is that of an open request"))));
-        };
+        let open = ask.fields.bytes(ID).and_then(|id| self.take_id(id));
+        let _open = open.ok_or(Plain::Bad("X-Correlation-Id is that of an open request"))?;
         let id = request.id;
         drop(ask);
-        if self.queue.send(Input::Request(request)).await.is_err() {
-            return Ok(Some(Ok(Answer::Failed)));
-        }
         tokio::select! {
             biased;
-            answer = answer => Ok(Some(Ok(answer.unwrap_or(Answer::Failed)))),
-            () = left(stream, reader) => {
+            permit = self.queue.reserve() => match permit {
+                Ok(permit) => permit.send(Input::Request(request)),
                 // The queue only closes when the gateway ends.
-                let _ = self.queue.send(Input::Gone(id)).await;
-                Ok(None)
+                Err(_) => return Ok(Answer::Failed),
+            },
+            // Guards against a client that leaves while its request waits to be taken: it never is.
+            () = left(stream, reader) => {
+                *gone = true;
+                return Ok(refused);
             }
         }
+        tokio::select! {
+            biased;
+            answer = &mut answer => return Ok(answer.unwrap_or(Answer::Failed)),
+            () = left(stream, reader) => *gone = true,
+        }
+        let _ = self.queue.send(Input::Gone(id)).await;
+        Ok(answer.await.unwrap_or(Answer::Failed))
     }
 
     /// Makes a request of an HTTP one: takes out what decisions need, and leaves the rest as it came.
@@ -390,7 +448,7 @@
     }
 }
 
-/// Waits until the client has left, or for ever if it floods.
+/// Waits until the client has left: it has closed, or ended its sending side, or it floods.
 async fn left(stream: &mut TcpStream, reader: &mut Reader<Ask>) {
     while reader.buffer().len() < EARLY {
         match stream.read_buf(reader.buffer()).await {
@@ -398,7 +456,16 @@
             Ok(_) => {}
         }
     }
-    std::future::pending().await
+    let (mut thrown, mut bytes) = (0, BytesMut::new());
+    while thrown < FLOOD {
+        bytes.clear();
+        bytes.reserve(LINGER_BYTES);
+        match stream.read_buf(&mut bytes).await {
+            Ok(0) | Err(_) => return,
+            Ok(more) => thrown += more,
+        }
+        sleep(FLOOD_PAUSE).await;
+    }
 }
 
 async fn write(stream: &mut TcpStream, (head, body): Wording) -> io::Result<()> {
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -23,7 +23,7 @@
 pub enum Input {
     /// A client's request has been taken.
     Request(Request),
-    /// Its client has left.
+    /// Its client has left, or ended its sending side: it still gets an answer, at once.
     Gone(RequestId),
     /// A attempt has ended.
     AttemptDone(AttemptDone),
