--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -66,7 +66,9 @@
     let (rev, servers) = (known.rev, known.targets.len());
     // A known list of any revision, 0 too, saves discovery the whole one.
     let held = (servers > 0).then_some(rev);
-    let turn = discovery::turn(site.balancer.me, site.balancer.instances);
+    // Where lists are pushed each gateway has its own to call, and waits for nobody.
+    let others = if site.balancer.ask_discovery { site.balancer.instances } else { 1 };
+    let turn = discovery::turn(site.balancer.me.min(others - 1), others);
     if !site.balancer.ask_discovery {
         // Guards against pushed lists that nobody reads: on sockets a watch is what they come on.
         watch_wanted.try_send(()).map_err(|e| format!("discovery: {e}"))?;
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -15,6 +15,22 @@
 /// Far longer than anything here takes: a test that hangs ends, and none depends on speed.
 pub const LONG: Duration = Duration::from_secs(60);
 
+/// Keeps a paused clock from moving by itself: it would, whenever nobody has work, and bytes on their way are no work.
+/// It moves on by a millisecond after each pause for the sockets, or where the test moves it.
+pub fn hold_clock(moves: bool) -> JoinHandle<()> {
+    tokio::spawn(async move {
+        loop {
+            for _ in 0..20 {
+                tokio::task::yield_now().await;
+            }
+            std::thread::sleep(Duration::from_micros(200));
+            if moves {
+                tokio::time::advance(Duration::from_millis(1)).await;
+            }
+        }
+    })
+}
+
 /// The next whole request of a connection; `None` if it ends first.
 pub async fn next<S: Start>(stream: &mut TcpStream, reader: &mut Reader<S>) -> Option<Whole<S>> {
     let mut ended = false;
--- a/gateway/tests/parts.rs
+++ b/gateway/tests/parts.rs
@@ -228,12 +228,32 @@
         ("/settings/limits/dial_timeout_ms", json!(0), "limits.dial_timeout_ms"),
         ("/settings/limits/max_open", json!("many"), "limits.max_open"),
         ("/settings", json!(1), "settings"),
+        ("/settings/discovery", json!("pull"), "discovery"),
+        ("/settings/discovery", json!(true), "discovery"),
+        ("/settings/report/how", json!("sometimes"), "report.how"),
+        ("/settings/instances", json!(-3), "instances"),
+        ("/settings/instances", json!("two"), "instances"),
+        ("/settings/tick_ms", json!(0), "tick_ms"),
+        ("/settings/tick_ms", json!(-5), "tick_ms"),
+        ("/settings/limits/max_attempts", json!(0), "max_attempts"),
+        ("/settings/limits/max_open", json!(-1), "limits.max_open"),
+        ("/settings/limits/conn_idle_ms", json!(-1), "idle_ms"),
+        ("/settings/limits/cancel", json!("yes"), "limits.cancel"),
+        ("/settings/classes/0/aim_ms", json!(-8), "classes.aim_ms"),
+        ("/settings/classes/0/late_value", json!(7), "classes.late_value"),
+        ("/settings/classes/1/window_ms", json!(-1), "classes.window_ms"),
+        ("/settings/tenants", json!({}), "tenants"),
     ] {
         let mut bad = good.clone();
         *bad.pointer_mut(path).expect("it is there") = value;
         let problem = read(&bad, "", "").expect_err(path);
         assert!(problem.contains(key) && problem.starts_with("LB_CONFIG"), "{path}: {problem}");
     }
+    let mut alone = good.clone();
+    alone["settings"]["me"] = json!(1);
+    assert!(read(&alone, "", "")
+        .expect_err("one gateway is number 0")
+        .contains("me must be below instances"));
 }
 
 /// The program, started by a shell that may first lower its limits; ended if the test fails.
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -163,7 +163,13 @@
     let reports = match report.text("how", "off")?.as_str() {
         "inline" => Reports::Inline,
         "on_probe" => Reports::OnProbe,
-        _ => Reports::Off,
+        "off" => Reports::Off,
+        _ => return Err(report.bad("how", "inline, on_probe or off")),
+    };
+    let ask_discovery = match root.text("discovery", "push")?.as_str() {
+        "ask" => true,
+        "push" => false,
+        _ => return Err(root.bad("discovery", "ask or push")),
     };
     let takes_advice = limits.flag("retry_after", true)?;
     let settings = Settings {
@@ -177,7 +183,7 @@
         cross_price: deductions.number("cross_zone", 0.0)?,
         idle_ms: limits.number("conn_idle_ms", 60_000.0)?,
         reports,
-        ask_discovery: root.text("discovery", "push")? == "ask",
+        ask_discovery,
         max_attempts: limits.number("max_attempts", 1.0)? as u32,
         may_probe: limits.flag("may_probe", false)?,
         may_cancel: limits.flag("cancel", false)?,
@@ -191,6 +197,9 @@
         top_nines: mix.get("top_nines").map(|_| mix.required("top_nines")).transpose()?,
     };
     settings.check().map_err(|e| e.to_string())?;
+    if settings.me >= settings.instances {
+        return Err("me must be below instances".into());
+    }
     let dial_timeout_ms = limits.number("dial_timeout_ms", 250.0)?;
     if !(dial_timeout_ms.is_finite() && dial_timeout_ms > 0.0) {
         return Err("limits.dial_timeout_ms must be above 0".into());
