Share the opening of two tests of ends, and ask more of the one on floods

Read again: two tests opened alike (one_out now), and the flood's test passed without a look at its attempt where the flood ended first.

--- a/gateway/tests/ends.rs
+++ b/gateway/tests/ends.rs
@@ -252,17 +252,23 @@
     }
 }
 
+/// A gateway that may call off, its server, a client, and the connection on which that one's request is out.
+async fn one_out() -> (Gateway, Peer, Client, Wire) {
+    let (server, discovery) = (Peer::start().await, Discovery::start().await);
+    let mut told = other_settings(vec![target(1, server.at, "SERVING")], discovery.at);
+    told["settings"]["limits"]["cancel"] = true.into();
+    let gateway = Gateway::start(&told).await;
+    let mut client = gateway.client().await;
+    client.send(&look("a")).await;
+    let mut wire = server.accept().await;
+    wire.request().await.expect("it is out");
+    (gateway, server, client, wire)
+}
+
 #[tokio::test]
 async fn a_client_that_leaves_after_many_early_bytes_is_noticed() {
     for bytes in [100, 4096, 5000, 300_000] {
-        let (server, discovery) = (Peer::start().await, Discovery::start().await);
-        let mut told = other_settings(vec![target(1, server.at, "SERVING")], discovery.at);
-        told["settings"]["limits"]["cancel"] = true.into();
-        let gateway = Gateway::start(&told).await;
-        let mut client = gateway.client().await;
-        client.send(&look("a")).await;
-        let mut wire = server.accept().await;
-        wire.request().await.expect("it is out");
+        let (_gateway, _server, mut client, mut wire) = one_out().await;
         client.send(&"x".repeat(bytes)).await;
         drop(client);
         assert!(wire.ends().await, "{bytes} early bytes: the attempt ends with its client");
@@ -277,10 +283,10 @@
     let part = "x".repeat(1 << 16);
     let flood = async { while floods.stream.write_all(part.as_bytes()).await.is_ok() {} };
     let ended = tokio::select! {
-        () = flood => true,
+        () = flood => wire.ends().await,
         ended = wire.ends() => ended,
     };
-    assert!(ended);
+    assert!(ended, "its attempt ends");
     early.send(&format!("{}{}", look("b"), "x".repeat(5000))).await;
     let mut wire = server.accept().await;
     wire.request().await.expect("it is out");
@@ -291,14 +297,7 @@
 
 #[tokio::test]
 async fn nothing_more_is_taken_from_a_client_that_has_left() {
-    let (server, discovery) = (Peer::start().await, Discovery::start().await);
-    let mut told = other_settings(vec![target(1, server.at, "SERVING")], discovery.at);
-    told["settings"]["limits"]["cancel"] = true.into();
-    let gateway = Gateway::start(&told).await;
-    let mut client = gateway.client().await;
-    client.send(&look("a")).await;
-    let mut wire = server.accept().await;
-    wire.request().await.expect("it is out");
+    let (gateway, server, mut client, mut wire) = one_out().await;
     // Its next request waits behind the first one.
     client.send(&look("b")).await;
     client.stream.shutdown().await.expect("it is up");
