End a connection that floods half a second after its answer, as meant

Cause: linger in gateway/src/listener.rs looked at its time only through timeout_at, which polls the read first; where bytes are always there the time is never seen, so a flood held its connection, and the gateway's end, for as long as it went on.

--- a/gateway/src/listener.rs
+++ b/gateway/src/listener.rs
@@ -479,7 +479,8 @@
     stream.shutdown().await?;
     let until = Instant::now() + LINGER;
     let mut bytes = BytesMut::new();
-    loop {
+    // A flood always has bytes to read, and a time-out is looked at only where none are.
+    while Instant::now() < until {
         bytes.clear();
         bytes.reserve(LINGER_BYTES);
         match timeout_at(until, stream.read_buf(&mut bytes)).await {
@@ -490,4 +491,5 @@
             sleep(LINGER_PAUSE).await;
         }
     }
+    Ok(())
 }
--- a/gateway/tests/ends.rs
+++ b/gateway/tests/ends.rs
@@ -282,11 +282,8 @@
     wire.request().await.expect("it is out");
     let part = "x".repeat(1 << 16);
     let flood = async { while floods.stream.write_all(part.as_bytes()).await.is_ok() {} };
-    let ended = tokio::select! {
-        () = flood => wire.ends().await,
-        ended = wire.ends() => ended,
-    };
-    assert!(ended, "its attempt ends");
+    let (ended, ()) = tokio::join!(wire.ends(), flood);
+    assert!(ended, "its attempt ends, and so does its connection");
     early.send(&format!("{}{}", look("b"), "x".repeat(5000))).await;
     let mut wire = server.accept().await;
     wire.request().await.expect("it is out");
