--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod list;
 pub mod scope;
+pub mod snapshot;
 pub mod store;
 pub mod tables;
 pub mod version;
--- a/peers/src/tables.rs
+++ b/peers/src/tables.rs
@@ -3,6 +3,8 @@
 use crate::scope::{Digest, Entry, Host, Key, Number, Route, Scope};
 use crate::store::Keeps;
 use crate::version::Repeat;
+use serde::de::{DeserializeSeed, Error, MapAccess, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -43,7 +45,7 @@
 }
 
 /// Values by key, sorted, with a sixteenth of room to grow at most.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct Sorted<V> {
     keys: Vec<Key>,
     values: Vec<V>,
@@ -91,13 +93,18 @@
         }
     }
 
+    fn shrink(&mut self) {
+        self.keys.shrink_to_fit();
+        self.values.shrink_to_fit();
+    }
+
     fn bytes(&self) -> usize {
         self.keys.capacity() * size_of::<Key>() + self.values.capacity() * size_of::<V>()
     }
 }
 
 /// Entries of one kind.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 enum Kind {
     Hosts(Sorted<PackedHost>),
     Routes(Sorted<Route>),
@@ -178,12 +185,16 @@
         each!(self, sorted => &sorted.keys)
     }
 
+    fn shrink(&mut self) {
+        each!(self, sorted => sorted.shrink());
+    }
+
     fn bytes(&self) -> usize {
         each!(self, sorted => sorted.bytes())
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 struct Table {
     kind: Kind,
     digest: Digest,
@@ -276,3 +287,95 @@
         self.heap + self.scopes.len() * size_of::<(Scope, Table)>() * 4 / 3
     }
 }
+
+/// Equal entries; how much room there is beside them does not count.
+impl PartialEq for Tables {
+    fn eq(&self, other: &Self) -> bool {
+        self.scopes == other.scopes
+    }
+}
+
+/// A map from scopes to maps from keys to entries.
+impl Serialize for Tables {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_map(&self.scopes)
+    }
+}
+
+impl Serialize for Table {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        // Counted beforehand, as the encoding needs it.
+        use serde::ser::SerializeMap;
+        let mut map = to.serialize_map(Some(self.kind.keys().len()))?;
+        for (key, entry) in self.kind.entries() {
+            map.serialize_entry(&key, &entry)?;
+        }
+        map.end()
+    }
+}
+
+/// Digests are computed anew, and entries must be in order and fit their scope.
+impl<'de> Deserialize<'de> for Tables {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        from.deserialize_map(AllScopes)
+    }
+}
+
+struct AllScopes;
+
+impl<'de> Visitor<'de> for AllScopes {
+    type Value = Tables;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("scopes in order, each once, with their entries")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Tables, A::Error> {
+        let mut tables = Tables::new();
+        while let Some(scope) = map.next_key::<Scope>()? {
+            let last = tables.scopes.last_key_value();
+            if last.is_some_and(|(last, _)| *last >= scope) {
+                return Err(A::Error::custom("scopes that are not in order"));
+            }
+            let table = map.next_value_seed(OneScope(scope))?;
+            tables.heap += table.kind.bytes();
+            tables.scopes.insert(scope, table);
+        }
+        Ok(tables)
+    }
+}
+
+struct OneScope(Scope);
+
+impl<'de> DeserializeSeed<'de> for OneScope {
+    type Value = Table;
+
+    fn deserialize<D: Deserializer<'de>>(self, from: D) -> Result<Table, D::Error> {
+        from.deserialize_map(self)
+    }
+}
+
+impl<'de> Visitor<'de> for OneScope {
+    type Value = Table;
+
+    fn expecting(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "entries of {:?}, one at least, in the order of their keys", self.0)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Table, A::Error> {
+        let mut table = Table { kind: Kind::of(self.0), digest: Digest::default() };
+        // Room is made as entries come: a length that was read is no reason to trust it.
+        while let Some((key, entry)) = map.next_entry::<Key, Entry>()? {
+            if !entry.fits(self.0) || table.kind.keys().last().is_some_and(|last| *last >= key) {
+                return Err(A::Error::invalid_value(serde::de::Unexpected::Other("another entry"), &self));
+            }
+            table.digest.add(self.0, key, &entry);
+            table.kind.set(key, Some(entry));
+        }
+        if table.kind.keys().is_empty() {
+            return Err(A::Error::invalid_length(0, &self));
+        }
+        table.kind.shrink();
+        Ok(table)
+    }
+}
