--- a/peers/src/lib.rs
+++ b/peers/src/lib.rs
@@ -13,5 +13,8 @@
 pub mod lease;
 pub mod list;
 pub mod scope;
+pub mod snapshot;
+pub mod store;
+pub mod tables;
 pub mod version;
 pub mod wire;
