--- /dev/null
+++ b/peers/src/follower.rs
@@ -0,0 +1,577 @@
+//! A follower's side: it asks, takes answers, catches up scope by scope, and says what to act by.
+//!
+//! It has one ask out and takes the answer to its last ask and no other, whole or not at all. A lease counts from the moment
+//! of the ask. Whoever acts has to ask with the time of the act: a process that slept wakes without a lease.
+use crate::lease::Terms;
+use crate::scope::{stricter, Change, Entry, Key, Number, Scope};
+use crate::snapshot::Snapshot;
+use crate::store::Keeps;
+use crate::tables::Tables;
+use crate::wire::{Ask, Cursor, Grant, Interest, Member, Part};
+use std::collections::BTreeMap;
+
+/// Scopes that one ask tells to be wanted, at most: more than an answer within the bytes of half a second holds.
+const FETCHED_AT_ONCE: usize = 64;
+/// The same for a machine between, whose answers are as long as a frame.
+const FETCHED_BETWEEN: usize = 4096;
+
+/// What a gateway acts by in a scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acting {
+    /// The version in force.
+    Agreed(Number),
+    /// Neutral rules: the stricter of all that it knows of each entry.
+    Neutral,
+    /// The scope is not there.
+    Unknown,
+}
+
+/// What an answer has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum News {
+    /// This version is in force.
+    InForce(Number),
+    /// All versions up to this one are known.
+    Known(Number),
+    /// A scope is whole.
+    Whole(Scope),
+    /// A scope that was whole is behind: neutral rules hold in it.
+    Behind(Scope),
+    /// A scope did not sum up to what its grantor has. It is forgotten, and fetched from the start.
+    Anew(Scope),
+    /// What to act by under this key may be another: a version in force or one to come touches it.
+    Changed(Scope, Key),
+}
+
+/// Why an answer was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refused {
+    /// It answers no ask that is out: it is doubled, late, or another's.
+    Unasked,
+    /// The grantor does not know which scopes are whole here. The next ask tells.
+    Interest,
+    /// The grantor is behind: it knows, or has in force, less than is known, or in force, here.
+    Past {
+        /// What is in force there.
+        in_force: Number,
+        /// What is known there.
+        through: Number,
+    },
+}
+
+impl std::fmt::Display for Refused {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Refused::Unasked => write!(f, "an answer to no ask that is out"),
+            Refused::Interest => write!(f, "an answer by who does not know which scopes are whole here"),
+            Refused::Past { in_force, through } => {
+                write!(f, "an answer by who is behind: {in_force} in force there, {through} known")
+            }
+        }
+    }
+}
+
+impl std::error::Error for Refused {}
+
+/// A scope that is not whole.
+#[derive(Clone, Debug)]
+struct Fetch {
+    cursor: Cursor,
+    heat: f64,
+    /// `Some` where the scope is behind: what has come so far. Where it is starting, this goes to what is kept at once.
+    staged: Option<Staged>,
+}
+
+/// What has come of a scope that is behind.
+#[derive(Clone, Debug, Default)]
+struct Staged {
+    /// It takes the place of all that was there.
+    anew: bool,
+    entries: BTreeMap<Key, (Number, Option<Entry>)>,
+}
+
+impl Staged {
+    fn put(&mut self, key: Key, changed: Number, entry: Option<Entry>) {
+        let there = self.entries.entry(key).or_insert((changed, entry));
+        if there.0 <= changed {
+            *there = (changed, entry);
+        }
+    }
+}
+
+/// The ask that is out.
+#[derive(Clone, Debug)]
+pub(crate) struct Asked {
+    at: f64,
+    known: Number,
+    in_force: Number,
+    revision: u64,
+    fetch: BTreeMap<Scope, Cursor>,
+}
+
+/// A follower. Times are ms of the caller's clock; memory is by what it follows.
+#[derive(Clone, Debug)]
+pub struct Follower<K> {
+    terms: Terms,
+    member: Member,
+    keeps: K,
+    everything: bool,
+    whole: BTreeMap<Scope, f64>, // With its heat.
+    fetching: BTreeMap<Scope, Fetch>,
+    pending: BTreeMap<Number, Vec<Change>>, // After `in_force`; in scopes that are whole or behind.
+    known: Number,
+    in_force: Number,
+    until: f64,
+    last: u64,
+    taken: u64,
+    asked: Option<Asked>,
+    due: f64,
+    patience_ms: f64, // With the ask that is out.
+    revision: u64,
+    told: Option<u64>,              // The revision that the grantor has.
+    changed: BTreeMap<Scope, bool>, // What is whole since `told` and what no more, as far as the last ask said.
+    later: BTreeMap<Scope, bool>,   // The same since the last ask.
+}
+
+impl<K: Keeps> Follower<K> {
+    /// A gateway that knows nothing; `keeps` has to be empty.
+    pub fn new(terms: Terms, member: Member, keeps: K) -> Self {
+        let mut follower = Follower {
+            terms,
+            member,
+            keeps,
+            everything: false,
+            whole: BTreeMap::new(),
+            fetching: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            known: 0,
+            in_force: 0,
+            until: f64::NEG_INFINITY,
+            last: 0,
+            taken: 0,
+            asked: None,
+            due: f64::NEG_INFINITY,
+            patience_ms: terms.ask_every_ms(),
+            revision: 1,
+            told: None,
+            changed: BTreeMap::new(),
+            later: BTreeMap::new(),
+        };
+        [Scope::Zones, Scope::Fleet].into_iter().for_each(|scope| follower.want(scope, f64::INFINITY));
+        follower
+    }
+
+    /// A machine between: it follows every scope there is. Versions to come are for its owner to keep.
+    pub fn everything(terms: Terms, member: Member, keeps: K) -> Self {
+        let mut follower = Follower::new(terms, member, keeps);
+        follower.everything = true;
+        follower.fetching.clear();
+        follower
+    }
+
+    /// A request needs a scope, which is so hot: the hottest ones are fetched first.
+    pub fn want(&mut self, scope: Scope, heat: f64) {
+        let heat = if scope.is_for_all() { f64::INFINITY } else { heat };
+        if let Some(whole) = self.whole.get_mut(&scope) {
+            *whole = heat;
+        } else if !self.everything {
+            let new = || Fetch { cursor: Cursor::default(), heat, staged: None };
+            self.fetching.entry(scope).or_insert_with(new).heat = heat;
+        }
+    }
+
+    /// A scope is needed no more. Those that all follow stay.
+    pub fn forget(&mut self, scope: Scope) {
+        if scope.is_for_all() || self.everything {
+            return;
+        }
+        self.drop_scope(scope);
+    }
+
+    fn drop_scope(&mut self, scope: Scope) {
+        if self.whole.remove(&scope).is_some() {
+            self.later.insert(scope, false);
+        }
+        self.fetching.remove(&scope);
+        self.pending.values_mut().for_each(|changes| changes.retain(|c| c.scope != scope));
+        self.pending.retain(|_, changes| !changes.is_empty());
+        self.keeps.forget(scope);
+    }
+
+    /// The next ask goes to another grantor, or over another connection: it tells the whole, and may go out at once.
+    pub fn moved(&mut self) {
+        (self.told, self.asked) = (None, None);
+        self.due = f64::NEG_INFINITY;
+    }
+
+    /// When the next ask is due; in the past where it is at once. Without an answer it is after as long as with one, so that
+    /// a lost message is made good soon; once answers have come too late, after twice as long, up to half a lease.
+    pub fn next_ask(&self) -> f64 {
+        self.asked.as_ref().map_or(self.due, |asked| asked.at + self.patience_ms)
+    }
+
+    /// The next ask, if it is due at `now`. The answer to the one before will not be taken any more.
+    pub fn ask(&mut self, now: f64) -> Option<Ask> {
+        (now >= self.next_ask()).then(|| self.ask_for(now, self.known, self.in_force))
+    }
+
+    /// An ask on behalf of others, too, who know and act on no less than this.
+    pub(crate) fn ask_for(&mut self, now: f64, known: Number, in_force: Number) -> Ask {
+        self.last += 1;
+        if !self.later.is_empty() {
+            self.revision += 1;
+            self.changed.append(&mut self.later);
+        }
+        let fetch = self.hottest();
+        self.asked = Some(Asked {
+            at: now,
+            known,
+            in_force,
+            revision: self.revision,
+            fetch: fetch.iter().copied().collect(),
+        });
+        Ask {
+            member: self.member.clone(),
+            number: self.last,
+            taken: self.taken,
+            known,
+            in_force,
+            interest: self.interest(),
+            fetch,
+        }
+    }
+
+    fn interest(&self) -> Interest {
+        let revision = self.revision;
+        match self.told {
+            _ if self.everything => Interest::Everything { revision },
+            Some(told) if told == revision => Interest::Same { revision },
+            Some(from) => {
+                let these = |whole| self.changed.iter().filter(move |c| *c.1 == whole).map(|c| *c.0);
+                Interest::Changed {
+                    from,
+                    revision,
+                    more: these(true).collect(),
+                    fewer: these(false).collect(),
+                }
+            }
+            None => Interest::Whole { revision, scopes: self.whole.keys().copied().collect() },
+        }
+    }
+
+    fn hottest(&self) -> Vec<(Scope, Cursor)> {
+        let most = if self.everything { FETCHED_BETWEEN } else { FETCHED_AT_ONCE };
+        let mut all: Vec<_> = self.fetching.iter().map(|(scope, f)| (f.heat, *scope, f.cursor)).collect();
+        if all.len() > most {
+            all.select_nth_unstable_by(most, |a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+            all.truncate(most);
+        }
+        all.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        all.into_iter().map(|(_, scope, cursor)| (scope, cursor)).collect()
+    }
+
+    /// Takes an answer that came at `now`.
+    pub fn granted(&mut self, now: f64, grant: Grant) -> Result<Vec<News>, Refused> {
+        let asked = self.accept(&grant)?;
+        Ok(self.take(now, asked, grant))
+    }
+
+    /// Whether an answer may be taken. If so no other one will be.
+    pub(crate) fn accept(&mut self, grant: &Grant) -> Result<Asked, Refused> {
+        if grant.number != self.last {
+            // One that was not waited for: the way is longer than the patience.
+            if self.asked.is_some() && (self.taken + 1..self.last).contains(&grant.number) {
+                self.patience_ms = (2.0 * self.patience_ms).min(self.terms.answer_within_ms());
+            }
+            return Err(Refused::Unasked);
+        }
+        let asked = self.asked.take().ok_or(Refused::Unasked)?;
+        if grant.interest != asked.revision {
+            self.told = None;
+            self.due = asked.at + self.terms.ask_soon_ms();
+            return Err(Refused::Interest);
+        }
+        // Guards against a grantor of the past. Had it less of what is to come than is known here, a scope that becomes
+        // whole by its answer would lack the rest.
+        if grant.in_force < self.in_force || grant.through < self.known.max(grant.in_force) {
+            self.due = asked.at + self.terms.ask_every_ms();
+            return Err(Refused::Past { in_force: grant.in_force, through: grant.through });
+        }
+        Ok(asked)
+    }
+
+    /// Takes an answer that was accepted.
+    pub(crate) fn take(&mut self, now: f64, asked: Asked, grant: Grant) -> Vec<News> {
+        let mut news = Vec::new();
+        self.taken = grant.number;
+        (self.told, self.changed) = (Some(asked.revision), BTreeMap::new());
+        // What was known comes into force before what has come, which is younger.
+        let later = self.pending.split_off(&(grant.in_force + 1));
+        for (number, changes) in std::mem::replace(&mut self.pending, later) {
+            self.bring_in(number, &changes, &mut news);
+        }
+        for part in &grant.parts {
+            self.piece(part, &asked, &mut news);
+        }
+        for scope in &grant.behind {
+            self.fall_behind(*scope, asked.known, &mut news);
+        }
+        if !self.everything {
+            for version in grant.pending.iter().filter(|v| v.number > grant.in_force) {
+                self.to_come(version.number, &version.changes, &mut news);
+            }
+        }
+        if grant.in_force > self.in_force {
+            news.push(News::InForce(grant.in_force));
+        }
+        if grant.through > self.known {
+            news.push(News::Known(grant.through));
+        }
+        (self.known, self.in_force) = (grant.through, grant.in_force);
+        if grant.lease_us > 0 {
+            // From the ask on, not from the answer: the grantor counts from a later moment.
+            self.until = self.until.max(asked.at + grant.lease_us as f64 / 1000.0);
+        }
+        // A way that has become short again.
+        if now - asked.at < self.terms.ask_every_ms() / 2.0 {
+            self.patience_ms = self.terms.ask_every_ms();
+        }
+        let starts = self.everything && !self.fetching.is_empty();
+        let tells = starts || self.known > asked.known || self.in_force > asked.in_force;
+        let pause = if tells { self.terms.ask_soon_ms() } else { self.terms.ask_every_ms() };
+        self.due = (asked.at + pause).max(now.min(asked.at + self.terms.ask_every_ms()));
+        news
+    }
+
+    /// A version that was known is in force.
+    fn bring_in(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
+        for change in changes {
+            if self.whole.contains_key(&change.scope) {
+                self.keeps.set(change.scope, change.key, number, change.entry);
+                news.push(News::Changed(change.scope, change.key));
+            } else if let Some(staged) = self.fetching.get_mut(&change.scope).and_then(|f| f.staged.as_mut())
+            {
+                staged.put(change.key, number, change.entry);
+            }
+        }
+    }
+
+    /// A version that is to come. Of one that is known it may tell more: what it changes in a scope that is whole only now.
+    fn to_come(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
+        let mut mine = Vec::new();
+        for change in changes {
+            let behind = self.fetching.get(&change.scope).is_some_and(|f| f.staged.is_some());
+            if behind || self.whole.contains_key(&change.scope) {
+                mine.push(*change);
+            }
+        }
+        if mine.is_empty() {
+            return;
+        }
+        let known = self.pending.entry(number).or_default();
+        for change in mine {
+            if !known.contains(&change) {
+                known.push(change);
+                news.push(News::Changed(change.scope, change.key));
+            }
+        }
+    }
+
+    /// A piece of a scope.
+    fn piece(&mut self, part: &Part, asked: &Asked, news: &mut Vec<News>) {
+        let scope = part.scope;
+        let Some(fetch) = self.fetching.get_mut(&scope) else {
+            if self.everything || self.whole.contains_key(&scope) {
+                self.changes(part, asked, news);
+            }
+            return;
+        };
+        // It was forgotten and wanted again since the ask, or not asked for: it does not go on from what is here.
+        if asked.fetch.get(&scope) != Some(&fetch.cursor) {
+            return;
+        }
+        if let Some((changed, key, _)) = part.entries.last() {
+            fetch.cursor = Cursor { changed: *changed, key: key.0 };
+        }
+        if let Some(staged) = &mut fetch.staged {
+            if part.anew {
+                // What was staged stays known to the neutral rules.
+                for (key, (changed, entry)) in std::mem::take(&mut staged.entries) {
+                    self.keeps.set(scope, key, changed, entry);
+                }
+                staged.anew = true;
+            }
+            for (changed, key, entry) in &part.entries {
+                staged.put(*key, *changed, *entry);
+            }
+        } else {
+            if part.anew {
+                self.keeps.clear(scope);
+            }
+            for (changed, key, entry) in &part.entries {
+                self.keeps.set(scope, *key, *changed, *entry);
+            }
+        }
+        let Some(digest) = part.whole else { return };
+        let Some(fetch) = self.fetching.remove(&scope) else { return };
+        if let Some(staged) = fetch.staged {
+            if staged.anew {
+                self.keeps.clear(scope);
+            }
+            for (key, (changed, entry)) in staged.entries {
+                self.keeps.set(scope, key, changed, entry);
+            }
+        }
+        self.whole.insert(scope, fetch.heat);
+        self.later.insert(scope, true);
+        if self.keeps.digest(scope) == digest {
+            news.push(News::Whole(scope));
+        } else {
+            self.start_anew(scope, news);
+        }
+    }
+
+    /// What has changed in a scope that is whole.
+    fn changes(&mut self, part: &Part, asked: &Asked, news: &mut Vec<News>) {
+        let scope = part.scope;
+        let Some(digest) = part.whole else {
+            // No grantor tells half of the changes; the rest is to be fetched.
+            return self.fall_behind(scope, asked.known, news);
+        };
+        if part.anew {
+            self.keeps.clear(scope);
+        }
+        for (changed, key, entry) in &part.entries {
+            self.keeps.set(scope, *key, *changed, *entry);
+            if !self.everything {
+                news.push(News::Changed(scope, *key));
+            }
+        }
+        self.whole.entry(scope).or_default();
+        if self.keeps.digest(scope) != digest {
+            self.start_anew(scope, news);
+        } else if part.anew {
+            news.push(News::Whole(scope));
+        }
+    }
+
+    fn start_anew(&mut self, scope: Scope, news: &mut Vec<News>) {
+        let heat = self.whole.get(&scope).copied().unwrap_or_default();
+        self.drop_scope(scope);
+        self.fetching.insert(scope, Fetch { cursor: Cursor::default(), heat, staged: None });
+        news.push(News::Anew(scope));
+    }
+
+    /// A scope's changes since `known` did not fit in.
+    fn fall_behind(&mut self, scope: Scope, known: Number, news: &mut Vec<News>) {
+        if let Some(heat) = self.whole.remove(&scope) {
+            let staged = Some(Staged::default());
+            self.fetching.insert(scope, Fetch { cursor: Cursor::after(known), heat, staged });
+            self.later.insert(scope, false);
+            news.push(News::Behind(scope));
+        } else if self.everything {
+            let new = || Fetch { cursor: Cursor::default(), heat: 0.0, staged: None };
+            self.fetching.entry(scope).or_insert_with(new);
+        }
+    }
+
+    /// What to act by in a scope at `now`, which has to be the time of the act.
+    pub fn acting(&self, now: f64, scope: Scope) -> Acting {
+        match self.fetching.get(&scope) {
+            Some(fetch) if fetch.staged.is_some() => Acting::Neutral,
+            None if self.whole.contains_key(&scope) => {
+                if now < self.until {
+                    Acting::Agreed(self.in_force)
+                } else {
+                    Acting::Neutral
+                }
+            }
+            _ => Acting::Unknown,
+        }
+    }
+
+    /// What holds under a key at `now`, by [`Follower::acting`].
+    pub fn entry(&self, now: f64, scope: Scope, key: Key) -> Option<Entry> {
+        match self.acting(now, scope) {
+            Acting::Agreed(_) => self.keeps.get(scope, key),
+            Acting::Unknown => None,
+            Acting::Neutral => {
+                let staged = self.fetching.get(&scope).and_then(|f| f.staged.as_ref()?.entries.get(&key));
+                let to_come = self.pending.values().flatten().filter(|c| c.scope == scope && c.key == key);
+                let others = staged.map(|(_, entry)| *entry).into_iter().chain(to_come.map(|c| c.entry));
+                others.fold(self.keeps.get(scope, key), |strict, entry| stricter(scope, strict, entry))
+            }
+        }
+    }
+
+    /// Until when its lease lasts; it holds none from then on.
+    pub fn lease_until(&self) -> f64 {
+        self.until
+    }
+
+    /// All versions up to this one are known to it, in its scopes.
+    pub fn known(&self) -> Number {
+        self.known
+    }
+
+    /// The version that came into force last here.
+    pub fn in_force(&self) -> Number {
+        self.in_force
+    }
+
+    /// Who it is.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// What it keeps its state in, at the version in force. Scopes that are starting are in there in part.
+    pub fn keeps(&self) -> &K {
+        &self.keeps
+    }
+
+    pub(crate) fn keeps_mut(&mut self) -> &mut K {
+        &mut self.keeps
+    }
+
+    /// Whether an ask is out whose answer would still be taken.
+    pub fn is_asking(&self) -> bool {
+        self.asked.is_some()
+    }
+
+    /// The scopes that it has whole, with their heat.
+    pub fn whole(&self) -> impl Iterator<Item = (Scope, f64)> + '_ {
+        self.whole.iter().map(|(scope, heat)| (*scope, *heat))
+    }
+
+    /// The scopes that are starting or behind.
+    pub fn fetching(&self) -> impl Iterator<Item = Scope> + '_ {
+        self.fetching.keys().copied()
+    }
+
+    /// Whether nothing that it follows is starting or behind.
+    pub fn is_complete(&self) -> bool {
+        self.known > 0 && self.fetching.is_empty()
+    }
+}
+
+impl Follower<Tables> {
+    /// A gateway in a new life that has kept a snapshot. The scopes in it are whole, as of the version in force then.
+    pub fn restored(terms: Terms, member: Member, snapshot: Snapshot) -> Self {
+        let scopes: Vec<Scope> = snapshot.tables.scopes().collect();
+        let mut follower = Follower::new(terms, member, snapshot.tables);
+        // What was to come is not in there: it has to be told again.
+        (follower.known, follower.in_force) = (snapshot.in_force, snapshot.in_force);
+        for scope in scopes {
+            let heat = follower.fetching.remove(&scope).map_or(0.0, |fetch| fetch.heat);
+            follower.whole.insert(scope, heat);
+        }
+        follower
+    }
+
+    /// What to keep for the next life: the scopes that are whole, as of the version in force. Costs a copy of them.
+    pub fn snapshot(&self) -> Snapshot {
+        let mut tables = self.keeps.clone();
+        self.fetching.keys().for_each(|scope| tables.forget(*scope));
+        Snapshot { known: self.in_force, in_force: self.in_force, tables }
+    }
+}
--- /dev/null
+++ b/peers/src/grantor.rs
@@ -0,0 +1,305 @@
+//! The answering side, for an origin and for machines between: news, pieces within a budget of bytes, leases.
+//!
+//! It has no queue for anybody: an answer is worked out from the store and from what the ask tells, and costs what has
+//! changed since. Of each follower it keeps the scopes that it has whole, its lease, and its budget.
+use crate::lease::Terms;
+use crate::scope::{Number, Scope, Version};
+use crate::store::Store;
+use crate::wire::{Ask, Cursor, Grant, Interest, Member, Part, HEADER, LONGEST};
+use postcard::ser_flavors::Size;
+use serde::Serialize;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// What an answer's versions to come, and its pieces, may take each, in bytes: both fit a frame together with the rest.
+const MOST: usize = LONGEST / 3;
+/// A piece is not begun with less left, in bytes: its frame would outweigh it.
+const LEAST: usize = 64;
+/// What a piece takes besides its entries, in bytes, at most.
+const FRAME: usize = 32;
+
+/// A set of scopes by their dense numbers.
+#[derive(Clone, Debug, Default)]
+struct Bits(Vec<u64>);
+
+impl Bits {
+    fn set(&mut self, at: usize, on: bool) {
+        if on && self.0.len() <= at / 64 {
+            self.0.resize(at / 64 + 1, 0);
+        }
+        if let Some(word) = self.0.get_mut(at / 64) {
+            *word = *word & !(1 << (at % 64)) | u64::from(on) << (at % 64);
+        }
+    }
+
+    fn has(&self, at: usize) -> bool {
+        self.0.get(at / 64).is_some_and(|word| word >> (at % 64) & 1 == 1)
+    }
+
+    fn all(&self) -> impl Iterator<Item = usize> + '_ {
+        let bits = |(n, word): (usize, &u64)| {
+            let word = *word;
+            (0..64).filter(move |bit| word >> bit & 1 == 1).map(move |bit| n * 64 + bit)
+        };
+        self.0.iter().enumerate().flat_map(bits)
+    }
+}
+
+/// A number for every scope that anybody follows.
+#[derive(Clone, Debug, Default)]
+struct Numbered {
+    by_scope: HashMap<Scope, usize>,
+    scopes: Vec<Scope>,
+}
+
+impl Numbered {
+    fn of(&mut self, scope: Scope) -> usize {
+        let scopes = &mut self.scopes;
+        *self.by_scope.entry(scope).or_insert_with(|| {
+            scopes.push(scope);
+            scopes.len() - 1
+        })
+    }
+}
+
+/// What a follower has whole.
+#[derive(Clone, Debug)]
+enum Whole {
+    All,
+    These(Bits),
+}
+
+/// A follower, as its grantor knows it.
+#[derive(Clone, Debug)]
+struct Followed {
+    revision: u64, // 0 where its scopes are not known.
+    whole: Whole,
+    until: f64, // Its lease, by the grantor's clock.
+    known: Number,
+    in_force: Number,
+    asked_at: f64,
+    /// The first answer since the one it said last that it took, and when it went out.
+    untaken: Option<(u64, f64)>,
+    bytes: f64, // What it may be sent yet.
+}
+
+impl Followed {
+    fn new(now: f64, bytes: f64) -> Self {
+        Followed {
+            revision: 0,
+            whole: Whole::These(Bits::default()),
+            until: f64::NEG_INFINITY,
+            known: 0,
+            in_force: 0,
+            asked_at: now,
+            untaken: None,
+            bytes,
+        }
+    }
+
+    fn has(&self, numbered: &Numbered, scope: Scope) -> bool {
+        match &self.whole {
+            Whole::All => true,
+            Whole::These(bits) => numbered.by_scope.get(&scope).is_some_and(|at| bits.has(*at)),
+        }
+    }
+
+    /// Takes in what it tells of its scopes; false where that does not follow from what is known here.
+    fn interested(&mut self, numbered: &mut Numbered, interest: &Interest) -> bool {
+        match interest {
+            Interest::Same { revision } => return self.revision == *revision,
+            Interest::Changed { from, revision, more, fewer } => {
+                // A revision in between is one whose answer was lost: all that has changed since `from` is told again.
+                let Whole::These(bits) = &mut self.whole else { return false };
+                if self.revision == 0 || !(*from..=*revision).contains(&self.revision) {
+                    return false;
+                }
+                more.iter().for_each(|scope| bits.set(numbered.of(*scope), true));
+                fewer.iter().for_each(|scope| bits.set(numbered.of(*scope), false));
+                self.revision = *revision;
+            }
+            Interest::Whole { revision, scopes } => {
+                let mut bits = Bits::default();
+                scopes.iter().for_each(|scope| bits.set(numbered.of(*scope), true));
+                (self.whole, self.revision) = (Whole::These(bits), *revision);
+            }
+            Interest::Everything { revision } => {
+                (self.whole, self.revision) = (Whole::All, *revision);
+            }
+        }
+        true
+    }
+}
+
+/// What a message takes as a frame, in bytes.
+fn bytes_of(message: &impl Serialize) -> usize {
+    // One byte says which kind of message it is. Nothing of these types can fail to be written.
+    postcard::serialize_with_flavor::<_, Size, usize>(message, Size::default()).unwrap_or(LONGEST)
+        + HEADER
+        + 1
+}
+
+/// Answers followers. Times are ms of the caller's clock.
+#[derive(Clone, Debug)]
+pub struct Grantor {
+    terms: Terms,
+    followed: BTreeMap<Member, Followed>,
+    numbered: Numbered,
+    tidied: f64,
+}
+
+impl Grantor {
+    /// One that has given no lease yet.
+    pub fn new(terms: Terms, now: f64) -> Self {
+        Grantor { terms, followed: BTreeMap::new(), numbered: Numbered::default(), tidied: now }
+    }
+
+    /// The answer to an ask that came at `now`, from what is in the store. Its lease is no longer than `may_lease_ms`, which
+    /// is 0 where none may be given.
+    ///
+    /// A lease never lasts past one lease's time after the first answer that its holder has not said to have taken: who asks
+    /// and hears no answer, over a link that is cut one way, holds the others up no longer than if it had died then.
+    pub fn asked(&mut self, now: f64, store: &Store, may_lease_ms: f64, ask: &Ask) -> Grant {
+        self.tidy(now);
+        let everything = matches!(ask.interest, Interest::Everything { .. });
+        let rate = if everything { self.terms.between_bytes_per_s } else { self.terms.bytes_per_s };
+        let burst = rate * self.terms.burst_s;
+        let new = || Followed::new(now, burst);
+        let follower = self.followed.entry(ask.member.clone()).or_insert_with(new);
+        let mut grant = Grant {
+            number: ask.number,
+            interest: follower.revision,
+            lease_us: 0,
+            in_force: store.number(),
+            through: store.through(),
+            parts: Vec::new(),
+            behind: Vec::new(),
+            pending: Vec::new(),
+        };
+        follower.bytes = (follower.bytes + rate * (now - follower.asked_at).max(0.0) / 1000.0).min(burst);
+        follower.asked_at = follower.asked_at.max(now);
+        if !follower.interested(&mut self.numbered, &ask.interest) {
+            follower.bytes -= (bytes_of(ask) + bytes_of(&grant)) as f64;
+            return grant;
+        }
+        grant.interest = follower.revision;
+        let most = (follower.bytes - bytes_of(ask) as f64).clamp(0.0, MOST as f64) as usize;
+        changes(store, &self.numbered, follower, ask, most, &mut grant);
+        fetched(store, ask, most, &mut grant);
+        let complete = to_come(store, &self.numbered, follower, ask, &mut grant);
+        if follower.untaken.is_some_and(|(number, _)| ask.taken >= number) {
+            follower.untaken = None;
+        }
+        let (_, since) = *follower.untaken.get_or_insert((ask.number, now));
+        let lease_ms = self.terms.lease_ms.min(may_lease_ms).min(since + self.terms.lease_ms - now);
+        // Who is not told all that is to come must not be taken for one that knows it.
+        if complete && lease_ms > 0.0 {
+            grant.lease_us = (lease_ms * 1000.0) as u64;
+            follower.until = follower.until.max(now + self.terms.held(grant.lease_us as f64 / 1000.0));
+        }
+        // What it is sent now counts as known only once it says so.
+        follower.known = follower.known.max(ask.known);
+        follower.in_force = follower.in_force.max(ask.in_force);
+        follower.bytes -= (bytes_of(ask) + bytes_of(&grant)) as f64;
+        grant
+    }
+
+    /// Forgets who has not asked for so long that its lease is over, and its budget full.
+    fn tidy(&mut self, now: f64) {
+        let long = self.terms.held_ms().max(self.terms.burst_s * 1000.0) * 2.0;
+        if now > self.tidied + long {
+            self.tidied = now;
+            self.followed.retain(|_, f| f.until > now || now - f.asked_at < long);
+        }
+    }
+
+    /// The least that is known to, and the least that is acted on by, all whose leases last at `now`; `None` where none do.
+    pub fn least(&self, now: f64) -> Option<(Number, Number)> {
+        let all = self.holders(now).map(|(_, known, in_force)| (known, in_force));
+        all.reduce(|a, b| (a.0.min(b.0), a.1.min(b.1)))
+    }
+
+    /// Who holds a lease at `now`, with what it said that it knows and that it acts on.
+    pub fn holders(&self, now: f64) -> impl Iterator<Item = (&Member, Number, Number)> {
+        self.followed.iter().filter(move |(_, f)| f.until > now).map(|(m, f)| (m, f.known, f.in_force))
+    }
+
+    /// How many followers are remembered.
+    pub fn followers(&self) -> usize {
+        self.followed.len()
+    }
+}
+
+/// What has changed in scopes that the follower has whole.
+fn changes(store: &Store, numbered: &Numbered, to: &Followed, ask: &Ask, most: usize, grant: &mut Grant) {
+    if ask.known >= store.number() {
+        return;
+    }
+    let fetched: BTreeSet<Scope> = ask.fetch.iter().map(|(scope, _)| *scope).collect();
+    let mut changed: Vec<Scope> = match &to.whole {
+        // What was removed before this store began is not known to it: each scope has to be looked at.
+        Whole::These(bits) if ask.known < store.complete_from() => {
+            bits.all().filter_map(|at| numbered.scopes.get(at)).copied().collect()
+        }
+        Whole::All if ask.known < store.complete_from() => store.scopes().collect(),
+        _ => store.changed_since(ask.known).filter(|s| to.has(numbered, *s)).collect(),
+    };
+    changed.retain(|scope| !fetched.contains(scope));
+    changed.sort_unstable();
+    let mut used = 0;
+    for scope in changed {
+        let left = most.saturating_sub(used + FRAME);
+        let part = (left >= LEAST).then(|| store.piece(scope, Cursor::after(ask.known), left));
+        // One entry goes whatever its length.
+        match part.filter(|part| part.whole.is_some() && bytes_of(part) <= left + FRAME) {
+            Some(part) => {
+                used += bytes_of(&part);
+                grant.parts.push(part);
+            }
+            None => grant.behind.push(scope),
+        }
+    }
+}
+
+/// The pieces that the follower fetches, as far as the budget goes.
+fn fetched(store: &Store, ask: &Ask, most: usize, grant: &mut Grant) {
+    let mut used: usize = grant.parts.iter().map(bytes_of).sum();
+    for (scope, cursor) in &ask.fetch {
+        let left = most.saturating_sub(used + FRAME);
+        if left < LEAST {
+            return;
+        }
+        let part: Part = store.piece(*scope, *cursor, left);
+        used += bytes_of(&part);
+        grant.parts.push(part);
+    }
+}
+
+/// The versions that are to come; false where they do not all fit, and the answer tells of fewer.
+fn to_come(store: &Store, numbered: &Numbered, to: &Followed, ask: &Ask, grant: &mut Grant) -> bool {
+    let fetched: BTreeSet<Scope> = ask.fetch.iter().map(|(scope, _)| *scope).collect();
+    let whole = |part: &&Part| part.whole.is_some() && fetched.contains(&part.scope);
+    let whole: BTreeSet<Scope> = grant.parts.iter().filter(whole).map(|part| part.scope).collect();
+    // A scope that is whole only now has none of them, not even those that are known.
+    let from = if whole.is_empty() { ask.known.max(store.number()) } else { store.number() };
+    let mut used = 0;
+    for version in store.pending_since(from) {
+        let new = version.number > ask.known;
+        let touches = |c: &&_| whole.contains(&scope_of(c)) || new && to.has(numbered, scope_of(c));
+        let changes: Vec<_> = version.changes.iter().filter(touches).copied().collect();
+        if changes.is_empty() {
+            continue;
+        }
+        let version = Version { number: version.number, changes };
+        used += bytes_of(&version);
+        if used > MOST && new && !grant.pending.is_empty() {
+            grant.through = version.number - 1;
+            return false;
+        }
+        grant.pending.push(version);
+    }
+    true
+}
+
+fn scope_of(change: &crate::scope::Change) -> Scope {
+    change.scope
+}
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -80,7 +80,10 @@
     pub member: Member,
     /// Tells the answer from those to earlier ones.
     pub number: u64,
-    /// All versions up to this one are known to it, in every scope that it has whole.
+    /// The number of the last ask whose answer it has taken, from whomever; 0 for none.
+    pub taken: u64,
+    /// All versions up to this one are known to it, in every scope that it has whole; a machine between: to all that it
+    /// answers for.
     pub known: Number,
     /// The version that it acts on, or acted on last; a machine between: the least of those it answers for.
     pub in_force: Number,
--- a/peers/tests/agreement.rs
+++ b/peers/tests/agreement.rs
@@ -1,242 +1,84 @@
 //! Members in virtual time, with everything that can befall them, judged by the rig's checker of contradictions.
+use common::{tenant, Moment, Planted, Seen, Setup, Way, Who, World};
 use quickcheck::{quickcheck, Arbitrary, Gen};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, BinaryHeap};
-use ternstack_peers::lease::{Acting, Ask, Grant, Grantor, Holder, Member, Terms};
-use ternstack_peers::list::{look, Seen, Verdict};
-use ternstack_peers::version::{contradictions, Contradiction, Host, Repeat, Rules, Version};
+use std::collections::BTreeMap;
+use ternstack_peers::follower::{Acting, Follower, Refused};
+use ternstack_peers::lease::Terms;
+use ternstack_peers::list::{look, Seen as SeenList, Verdict};
+use ternstack_peers::scope::{Change, Entry, Key, Scope, Version};
+use ternstack_peers::tables::Tables;
+use ternstack_peers::version::{contradictions, Contradiction, Host, Repeat, Rules};
+use ternstack_peers::wire::{Grant, Member, Part};
 use ternstack_rig::checkers::{check, Promise, Terms as Promised};
 use ternstack_rig::history::{Event, What};
 
-/// What a planted member or leader does wrong.
-#[derive(Clone, Copy, PartialEq, Debug)]
-enum Planted {
-    Nothing,
-    /// A member acts on although its lease has run out.
-    IgnoresLease,
-    /// The leader skips the first step.
-    SkipsFirstStep,
-    /// A new leader does not wait for the leases of the one before.
-    TakesOverAtOnce,
-    /// The leader does not wait for who is still on the version before.
-    Hurries,
-    /// A leader that was replaced goes on granting.
-    Unconfirmed,
-}
-
-/// A message on its way, or a moment of a member.
-#[derive(Clone, Debug)]
-enum Moment {
-    Asks(usize),
-    Ask(usize, Ask), // To the leader of that reign.
-    Grant(usize, u64, Grant),
-    Propose,
-    Reign,
-    Pause(usize, f64),
-    Restart(usize),
-    Cut(usize, f64),
-    Look,
-}
-
-struct Due(f64, u64, Moment);
-impl PartialEq for Due {
-    fn eq(&self, other: &Self) -> bool {
-        self.1 == other.1
-    }
-}
-impl Eq for Due {}
-impl PartialOrd for Due {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Due {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        other.0.total_cmp(&self.0).then(other.1.cmp(&self.1))
-    }
-}
+mod common;
 
-struct Gateway {
-    holder: Holder,
-    incarnation: u64,
-    rate: f64, // Of its clock.
-    asleep_until: f64,
-    cut_until: f64,
-}
-
-#[derive(Debug, Default)]
-struct Seen1 {
+/// What came of a play.
+#[derive(Debug)]
+struct Judged {
+    seen: Seen,
     longest_ms: u64,
-    versions: u64,
-    neutral: u64,
-    looks: u64,
-    unknown_at_force: u64,
     broken: usize,
 }
 
-/// Plays `length_ms` of a fleet; the consensus is an oracle: one order, one leader at a time, who learns of its
-/// replacement only when it asks for confirmation.
-fn play(seed: u64, members: usize, length_ms: f64, loss: f64, planted: Planted) -> Seen1 {
+/// Plays `length_ms` of a fleet that agrees on one tenant's quota, with so many machines between.
+fn play(seed: u64, members: usize, between: usize, length_ms: f64, loss: f64, planted: Planted) -> Judged {
     let terms = Terms::default();
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let rules = |n: u64| Rules { quotas: [("acme".into(), 100 + n as u32)].into(), ..Rules::default() };
-    let version = |number: u64, epoch| Version {
-        number,
-        epoch,
-        proposer: "staff".into(),
-        proposed_ms: 0,
-        rules: rules(number),
+    let (scope, key) = tenant("acme");
+    let quota = |n: u32| vec![Change { scope, key, entry: Some(Entry::Quota(100 + n)) }];
+    let excused = vec![];
+    let setup = Setup {
+        terms,
+        seed,
+        members,
+        between,
+        length_ms,
+        loss,
+        doubled: 0.1,
+        delay_ms: 120.0,
+        planted,
+        excused,
     };
-    let name = |n: usize, incarnation| Member { name: format!("g{n}"), incarnation };
-    let mut fleet: Vec<Gateway> = (0..members)
-        .map(|n| Gateway {
-            holder: Holder::new(terms, name(n, 0)),
-            incarnation: 0,
-            rate: 1.0 + rng.random_range(-terms.drift..=terms.drift),
-            asleep_until: 0.0,
-            cut_until: 0.0,
-        })
-        .collect();
-    let mut log = vec![version(1, 1)];
-    let mut in_force = 1;
-    let mut leader_rate = 1.0;
-    let mut reigns: Vec<(Grantor, f64)> = vec![(Grantor::new(terms, 0.0, 1, log.clone()), leader_rate)];
-    let (mut queue, mut serial) = (BinaryHeap::new(), 0u64);
-    let mut add = |queue: &mut BinaryHeap<Due>, at: f64, moment| {
-        serial += 1;
-        queue.push(Due(at, serial, moment));
-    };
-    for n in 0..members {
-        add(&mut queue, rng.random_range(0.0..400.0), Moment::Asks(n));
-    }
-    let mut at = 0.0;
+    let mut world = World::new(setup, quota(1), |_| vec![scope]);
+    world.about.push(("acme's quota".into(), scope, key));
+    world.begin();
+    let (mut at, mut proposed) = (0.0, 1);
     while at < length_ms {
-        at += rng.random_range(100.0..1500.0);
-        let n = rng.random_range(0..members);
-        let for_ms = rng.random_range(50.0..6000.0);
-        let moment = match rng.random_range(0..7) {
-            0 => Moment::Pause(n, for_ms),
-            1 => Moment::Restart(n),
-            2 => Moment::Cut(n, for_ms),
+        at += world.rng.random_range(100.0..1500.0);
+        let who = Who::Gateway(world.rng.random_range(0..members));
+        let for_ms = world.rng.random_range(50.0..6000.0);
+        let moment = match world.rng.random_range(0..7) {
+            0 => Moment::Pause(who, for_ms),
+            1 => Moment::Restart(who, 0.0),
+            2 => Moment::Cut(who, Way::Both, for_ms),
             3 => Moment::Reign,
-            _ => Moment::Propose,
+            _ => {
+                proposed += 1;
+                Moment::Propose(vec![quota(proposed)])
+            }
         };
-        add(&mut queue, at, moment);
-    }
-    for n in 0..(length_ms / 25.0) as u32 {
-        add(&mut queue, f64::from(n) * 25.0, Moment::Look);
+        world.add(at, moment);
     }
-    let mut history = Vec::new();
-    let mut acts: Vec<Option<String>> = vec![None; members];
-    let mut seen = Seen1::default();
-    while let Some(Due(now, _, moment)) = queue.pop() {
-        if now > length_ms {
-            break;
-        }
-        let reign = reigns.len() - 1;
-        match moment {
-            Moment::Asks(n) => {
-                let g = &mut fleet[n];
-                add(&mut queue, now + terms.ask_every_ms() / g.rate, Moment::Asks(n));
-                if now < g.asleep_until {
-                    continue;
-                }
-                let ask = g.holder.ask(now * g.rate);
-                // Some still reach the leader before.
-                let to = if reign > 0 && rng.random_bool(0.3) { reign - 1 } else { reign };
-                if now >= g.cut_until && !rng.random_bool(loss) {
-                    add(&mut queue, now + rng.random_range(0.1..120.0), Moment::Ask(to, ask));
-                }
-            }
-            Moment::Ask(to, ask) => {
-                let (grantor, rate) = &mut reigns[to];
-                let local = now * *rate;
-                // A majority confirms only the leader of today.
-                if to == reign || planted == Planted::Unconfirmed {
-                    grantor.confirmed(local);
-                }
-                let Some(grant) = grantor.asked(local, &ask) else { continue };
-                let n: usize = ask.member.name[1..].parse().expect("a number");
-                let copies = 1 + usize::from(rng.random_bool(0.1));
-                for _ in 0..copies {
-                    if now >= fleet[n].cut_until && !rng.random_bool(loss) {
-                        let arrives = now + rng.random_range(0.1..120.0);
-                        add(&mut queue, arrives, Moment::Grant(n, ask.member.incarnation, grant.clone()));
-                    }
-                }
-            }
-            Moment::Grant(n, incarnation, grant) => {
-                // What comes while a process stands still waits for it.
-                if now < fleet[n].asleep_until {
-                    let wakes = fleet[n].asleep_until;
-                    add(&mut queue, wakes, Moment::Grant(n, incarnation, grant));
-                } else if incarnation == fleet[n].incarnation {
-                    fleet[n].holder.granted(grant);
-                }
-            }
-            Moment::Propose => {
-                let next = version(log.len() as u64 + 1, reign as u64 + 1);
-                log.push(next.clone());
-                reigns[reign].0.agreed(next);
-            }
-            Moment::Reign => {
-                leader_rate = 1.0 + rng.random_range(-terms.drift..=terms.drift);
-                let begins = if planted == Planted::TakesOverAtOnce { -1e9 } else { now * leader_rate };
-                let agreed = log.iter().filter(|v| v.number >= in_force).cloned();
-                reigns.push((Grantor::new(terms, begins, in_force, agreed), leader_rate));
-            }
-            Moment::Pause(n, for_ms) => fleet[n].asleep_until = now + for_ms,
-            Moment::Restart(n) => {
-                let g = &mut fleet[n];
-                g.incarnation += 1;
-                g.asleep_until = 0.0;
-                g.holder = Holder::new(terms, name(n, g.incarnation));
-            }
-            Moment::Cut(n, for_ms) => fleet[n].cut_until = now + for_ms,
-            Moment::Look => {}
-        }
-        // The second step, by the leader of today.
-        let (grantor, rate) = &mut reigns[reign];
-        let local = now * *rate;
-        let ready = match planted {
-            Planted::Hurries => {
-                let next = in_force + 1;
-                (grantor.holders(local).all(|(_, known)| known >= next) && log.len() as u64 >= next)
-                    .then_some(next)
-            }
-            Planted::SkipsFirstStep => (log.len() as u64 > in_force).then_some(in_force + 1),
-            _ => grantor.ready(local),
+    // What befalls machines between comes on top, so that the schedule is the same with them and without.
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut at = 0.0;
+    while between > 0 && at < length_ms {
+        at += rng.random_range(1000.0..8000.0);
+        let who = Who::Between(rng.random_range(0..between));
+        let for_ms = rng.random_range(50.0..4000.0);
+        let moment = match rng.random_range(0..5) {
+            0 => Moment::Pause(who, for_ms),
+            1 => Moment::Restart(who, for_ms),
+            2 => Moment::Cut(who, Way::Asks, for_ms),
+            3 => Moment::Cut(who, Way::Answers, for_ms),
+            _ => Moment::Cut(who, Way::Both, for_ms),
         };
-        if let Some(next) = ready {
-            seen.unknown_at_force += grantor.holders(local).filter(|(_, known)| *known < next).count() as u64;
-            grantor.in_force(next);
-            in_force = next;
-        }
-        for (n, g) in fleet.iter().enumerate() {
-            // Who stands still does nothing; it acts at once when it wakes.
-            let rule = if now < g.asleep_until {
-                None
-            } else {
-                seen.looks += 1;
-                match g.holder.acting(now * g.rate) {
-                    Acting::Agreed(v) => Some(v.number.to_string()),
-                    Acting::Neutral(_) if planted == Planted::IgnoresLease && g.holder.in_force() > 0 => {
-                        Some(g.holder.in_force().to_string())
-                    }
-                    Acting::Neutral(_) => {
-                        seen.neutral += 1;
-                        None
-                    }
-                }
-            };
-            if acts[n] != rule {
-                acts[n] = rule.clone();
-                let what = What::Acts { gateway: n, about: "acme's quota".into(), rule };
-                history.push(Event { at_us: (now * 1000.0) as u64, what });
-            }
-        }
+        world.add(at, moment);
     }
+    world.run();
     let promised = Promised {
         classes: vec![],
         max_attempts: 1,
@@ -247,19 +89,19 @@
         most_out: members,
         limits: vec![],
     };
-    let broken = check(&history, &promised);
+    let broken = check(&world.history, &promised);
     assert!(broken.iter().all(|o| o.promise == Promise::Agreement));
-    seen.broken = broken.len();
-    seen.versions = in_force;
-    seen.longest_ms = longest(&history);
-    seen
+    Judged { longest_ms: longest(&world.history), broken: broken.len(), seen: world.seen }
 }
 
 /// The longest time in which members acted on different versions.
 fn longest(history: &[Event]) -> u64 {
     let (mut acts, mut since, mut longest) = (BTreeMap::new(), None, 0);
     for event in history {
-        let What::Acts { gateway, rule, .. } = &event.what else { continue };
+        let What::Acts { gateway, rule, about } = &event.what else { continue };
+        if about != "the version" {
+            continue;
+        }
         match rule {
             Some(rule) => drop(acts.insert(*gateway, rule.clone())),
             None => drop(acts.remove(gateway)),
@@ -277,27 +119,36 @@
     longest / 1000
 }
 
-#[test]
-fn no_two_members_contradict_each_other_for_longer_than_was_promised() {
+fn agrees(members: [usize; 4], between: [usize; 4]) {
     let (mut versions, mut longest) = (0, 0);
     for seed in 0..300 {
-        let members = [3, 5, 7, 20][seed as usize % 4];
-        let seen = play(seed, members, 20_000.0, [0.0, 0.2][seed as usize % 2], Planted::Nothing);
-        assert_eq!((seen.broken, seen.unknown_at_force), (0, 0), "seed {seed}: {seen:?}");
-        assert!(seen.neutral * 2 < seen.looks, "seed {seed}: {seen:?}");
+        let at = seed as usize % 4;
+        let loss = [0.0, 0.2][seed as usize % 2];
+        let judged = play(seed, members[at], between[at], 20_000.0, loss, Planted::Nothing);
+        let seen = &judged.seen;
+        assert_eq!((judged.broken, seen.unknown_at_force), (0, 0), "seed {seed}: {judged:?}");
+        assert_eq!((seen.untrue, seen.went_back, seen.anew), (0, 0, 0), "seed {seed}: {judged:?}");
+        assert!(seen.neutral * 2 < seen.looks, "seed {seed}: {judged:?}");
         versions += seen.versions;
-        longest = longest.max(seen.longest_ms);
+        longest = longest.max(judged.longest_ms);
     }
     // It says something only if versions came into force, and some contradicted each other for a while.
     assert!(versions > 900 && longest > 500, "{versions} versions, longest {longest} ms");
-    println!("300 schedules: {versions} versions in force, longest contradiction {longest} ms");
+    println!("300 schedules, {between:?} between: {versions} versions in force, longest contradiction {longest} ms");
+}
+
+#[test]
+fn no_two_members_contradict_each_other_for_longer_than_was_promised() {
+    agrees([3, 5, 7, 20], [0; 4]);
 }
 
 #[test]
 fn three_hundred_and_fifty_members_agree_too() {
-    let seen = play(77, 350, 8_000.0, 0.05, Planted::Nothing);
-    assert_eq!((seen.broken, seen.unknown_at_force), (0, 0), "{seen:?}");
-    assert!(seen.versions > 1, "{seen:?}");
+    for between in [0, 3] {
+        let judged = play(77, 350, between, 8_000.0, 0.05, Planted::Nothing);
+        assert_eq!((judged.broken, judged.seen.unknown_at_force), (0, 0), "{judged:?}");
+        assert!(judged.seen.versions > 1, "{judged:?}");
+    }
 }
 
 #[test]
@@ -310,42 +161,69 @@
         Planted::Unconfirmed,
     ];
     for planted in all {
-        let caught = (0..120).filter(|seed| {
-            let seen = play(*seed, 5, 20_000.0, 0.2, planted);
-            seen.broken > 0 || seen.unknown_at_force > 0
-        });
-        assert!(caught.count() > 0, "{planted:?} was not caught in 120 schedules");
+        for between in [0, 2] {
+            let caught = (0..120).filter(|seed| {
+                let judged = play(*seed, 5, between, 20_000.0, 0.2, planted);
+                judged.broken > 0 || judged.seen.unknown_at_force > 0
+            });
+            let caught = caught.count();
+            println!("{planted:?} with {between} between: caught in {caught} of 120 schedules");
+            assert!(caught > 0, "{planted:?} was not caught in 120 schedules with {between} between");
+        }
     }
 }
 
 #[test]
 fn a_grant_that_is_old_doubled_or_anothers_gives_no_more_than_it_may() {
-    let terms = Terms { lease_ms: 100.0, drift: 0.0 };
-    let version = |number| Version {
+    let terms = Terms { lease_ms: 100.0, drift: 0.0, ..Terms::default() };
+    let (scope, key) = (Scope::Fleet, Key::of("book"));
+    let member = Member { name: "g0".into(), incarnation: 1 };
+    let mut follower = Follower::new(terms, member, Tables::new());
+    let part = |number| {
+        let entry = Entry::Repeat(Repeat::Within(number));
+        let mut digest = ternstack_peers::scope::Digest::default();
+        digest.add(scope, key, &entry);
+        Part { scope, anew: true, entries: vec![(number, key, Some(entry))], whole: Some(digest) }
+    };
+    let grant = |number, in_force, parts: Vec<Part>| Grant {
         number,
-        epoch: 1,
-        proposer: "staff".into(),
-        proposed_ms: 0,
-        rules: Rules::default(),
+        interest: 1,
+        lease_us: 100_000,
+        in_force,
+        through: in_force,
+        parts,
+        behind: vec![],
+        pending: vec![],
     };
-    let mut holder = Holder::new(terms, Member { name: "g0".into(), incarnation: 1 });
-    let first = holder.ask(0.0);
-    let grant = |number, in_force, versions| Grant { number, in_force, versions };
-    holder.granted(grant(first.number + 9, 1, vec![version(1)]));
-    assert_eq!(holder.acting(1.0), Acting::Neutral(None), "it never asked that");
-    holder.granted(grant(first.number, 1, vec![version(1)]));
-    assert!(matches!(holder.acting(99.0), Acting::Agreed(v) if v.number == 1));
-    assert!(matches!(holder.acting(100.0), Acting::Neutral(Some(_))), "it slept past its lease");
-    let second = holder.ask(150.0);
-    holder.granted(grant(first.number, 1, vec![]));
-    assert!(matches!(holder.acting(151.0), Acting::Neutral(_)), "the same grant again");
-    holder.granted(grant(second.number, 2, vec![]));
-    assert!(matches!(holder.acting(151.0), Acting::Neutral(_)), "a lease for what it does not know");
-    let third = holder.ask(160.0);
-    holder.granted(grant(third.number, 2, vec![version(2)]));
-    let fourth = holder.ask(170.0);
-    holder.granted(grant(fourth.number, 1, vec![version(1)]));
-    assert!(matches!(holder.acting(171.0), Acting::Agreed(v) if v.number == 2), "what is in force went back");
+    let first = follower.ask(0.0).expect("due");
+    assert_eq!(follower.granted(0.0, grant(first.number + 9, 1, vec![part(1)])), Err(Refused::Unasked));
+    assert_eq!(follower.acting(1.0, scope), Acting::Unknown, "it never asked that");
+    follower.granted(0.0, grant(first.number, 1, vec![part(1)])).expect("taken");
+    assert_eq!(follower.acting(99.0, scope), Acting::Agreed(1));
+    assert_eq!(follower.acting(100.0, scope), Acting::Neutral, "it slept past its lease");
+    let second = follower.ask(150.0).expect("due");
+    let again = grant(first.number, 1, vec![]);
+    assert_eq!(follower.granted(150.0, again), Err(Refused::Unasked));
+    assert_eq!(follower.acting(151.0, scope), Acting::Neutral, "the same grant again");
+    let unknown = Grant { through: 1, interest: 2, ..grant(second.number, 2, vec![]) };
+    assert!(follower.granted(151.0, unknown).is_err());
+    assert_eq!(follower.acting(151.0, scope), Acting::Neutral, "a lease for what it does not know");
+    let third = follower.ask(210.0).expect("due");
+    let news = Grant { interest: 2, ..grant(third.number, 2, vec![part(2)]) };
+    follower.granted(210.0, news).expect("taken");
+    let fourth = follower.ask(240.0).expect("due");
+    let old = Grant { interest: 2, ..grant(fourth.number, 1, vec![part(1)]) };
+    assert_eq!(follower.granted(241.0, old), Err(Refused::Past { in_force: 1, through: 1 }));
+    assert_eq!(follower.acting(241.0, scope), Acting::Agreed(2), "what is in force went back");
+    assert_eq!(follower.entry(241.0, scope, key), Some(Entry::Repeat(Repeat::Within(2))));
+    // A version that is known is not in force, but binds who has no lease.
+    let fifth = follower.ask(280.0).expect("due");
+    let change = Change { scope, key, entry: Some(Entry::Repeat(Repeat::Never)) };
+    let pending = vec![Version { number: 3, changes: vec![change] }];
+    let news = Grant { interest: 2, through: 3, pending, ..grant(fifth.number, 2, vec![]) };
+    follower.granted(281.0, news).expect("taken");
+    assert_eq!(follower.entry(379.0, scope, key), Some(Entry::Repeat(Repeat::Within(2))));
+    assert_eq!(follower.entry(380.0, scope, key), Some(Entry::Repeat(Repeat::Never)));
 }
 
 impl Arbitrary for Small {
@@ -417,7 +295,7 @@
     let host = |drains| Host { address: "1:1".into(), drains };
     let hosts = (0..1200).map(|n| (format!("s-{n}"), host(false))).collect();
     let in_force = Rules { hosts, list_rev: 41, ..Rules::default() };
-    let seen = |rev, whole, hosts: Vec<(usize, Option<Host>)>| Seen {
+    let seen = |rev, whole, hosts: Vec<(usize, Option<Host>)>| SeenList {
         rev,
         whole,
         hosts: hosts.into_iter().map(|(n, h)| (format!("s-{n}"), h)).collect(),
