--- a/peers/src/store.rs
+++ b/peers/src/store.rs
@@ -173,6 +173,9 @@
     /// Takes in an entry, or a tombstone, of a piece had from above, as of the version in force or about to be. Followers of
     /// this store hear of it by `changed`, so it has to come before the `in_force` that covers it is told to them.
     pub fn load(&mut self, scope: Scope, key: Key, changed: Number, entry: Option<Entry>) {
+        if entry.is_some_and(|entry| !entry.fits(scope)) {
+            return;
+        }
         if !self.scopes.contains_key(&scope) {
             self.clear(scope);
         }
--- a/peers/src/tables.rs
+++ b/peers/src/tables.rs
@@ -3,7 +3,7 @@
 use crate::scope::{Digest, Entry, Host, Key, Number, Route, Scope};
 use crate::store::Keeps;
 use crate::version::Repeat;
-use serde::de::{DeserializeSeed, Error, MapAccess, SeqAccess, Visitor};
+use serde::de::{DeserializeSeed, Error, MapAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- a/peers/tests/store.rs
+++ b/peers/tests/store.rs
@@ -235,7 +235,9 @@
                 if known == 0 { first.scopes().collect() } else { first.changed_since(known).collect() };
             for scope in whole {
                 let mut cursor = if known == 0 { Cursor::default() } else { Cursor::after(known) };
-                loop {
+                // The first stands still here, and each piece has an entry at least.
+                for pieces in 0.. {
+                    assert!(pieces <= 2 + first.len(scope) + first.tombstones(), "{scope:?} from {cursor:?}");
                     let part = first.piece(scope, cursor, self.rng.random_range(0..300));
                     if part.anew || known == 0 && cursor == Cursor::default() {
                         Keeps::clear(&mut to.store, scope);
@@ -348,3 +350,94 @@
     let [well, anew] = play(100..160, true);
     assert!(well > 3000 && anew > 0 && anew < well / 20, "{well} {anew}");
 }
+
+/// A store with so many quotas from version 1, of which so many are removed with version 2.
+fn with_removals(entries: u64, removed: u64) -> Store {
+    let mut store = Store::new();
+    let change = |key, entry| Change { scope: Scope::Tenants(7), key: Key(key << 40), entry };
+    let set = (0..entries).map(|key| change(key, Some(Entry::Quota(5)))).collect();
+    store.pending(Version { number: 1, changes: set });
+    store.pending(Version { number: 2, changes: (0..removed).map(|key| change(key, None)).collect() });
+    store.in_force(2);
+    store
+}
+
+fn bytes<'a>(entries: impl IntoIterator<Item = &'a (Number, Key, Option<Entry>)>) -> usize {
+    entries.into_iter().map(|entry| postcard::to_allocvec(entry).expect("bytes").len()).sum()
+}
+
+#[test]
+fn a_new_start_is_given_where_it_is_smaller() {
+    let mut kinds = [0; 2];
+    for removed in 0..=100 {
+        let store = with_removals(100, removed);
+        let start = store.piece(Scope::Tenants(7), Cursor::default(), usize::MAX).entries;
+        assert_eq!(start.len(), 100 - removed as usize);
+        let gone: Vec<_> = (0..removed).map(|key| (2, Key(key << 40), None)).collect();
+        let anew = bytes(&gone) > bytes(&start);
+        let part = store.piece(Scope::Tenants(7), Cursor::after(1), usize::MAX);
+        assert_eq!((part.anew, part.entries), (anew, if anew { start } else { gone }), "{removed}");
+        kinds[usize::from(anew)] += 1;
+    }
+    assert!(kinds[0] > 10 && kinds[1] > 10, "{kinds:?}");
+}
+
+#[test]
+fn a_piece_keeps_to_its_bytes_and_uses_them() {
+    let store = with_removals(100, 30);
+    let whole = store.piece(Scope::Tenants(7), Cursor::default(), usize::MAX);
+    assert_eq!((whole.entries.len(), whole.anew, whole.whole.is_some()), (70, false, true));
+    for most in 0..=bytes(&whole.entries) {
+        let part = store.piece(Scope::Tenants(7), Cursor::default(), most);
+        let taken = part.entries.len();
+        assert!(taken == 1 || bytes(&part.entries) <= most, "{} of {most}", bytes(&part.entries));
+        assert_eq!(part.whole.is_some(), taken == 70);
+        let next = bytes(whole.entries.get(taken));
+        assert!(taken == 70 || bytes(&part.entries) + next > most, "{} of {most}", bytes(&part.entries));
+    }
+}
+
+#[test]
+fn a_scope_that_nobody_heard_of_is_whole_at_once() {
+    for from in [Cursor::default(), Cursor::after(5), Cursor { changed: 3, key: 9 }] {
+        let part = Store::new().piece(Scope::Hosts(9), from, 0);
+        assert_eq!(part.anew, from != Cursor::default());
+        assert_eq!((part.entries.len(), part.whole), (0, Some(Digest::default())));
+    }
+}
+
+#[test]
+fn what_is_late_doubled_or_does_not_fit_changes_nothing() {
+    let mut store = with_removals(9, 3);
+    let (sum, changed) = (store.sum(), |store: &Store| store.changed_since(0).count());
+    store.pending(Version { number: 2, changes: vec![change(&mut ChaCha8Rng::seed_from_u64(1), 9, 0.0)] });
+    store.in_force(1);
+    store.in_force(2);
+    Keeps::set(&mut store, Scope::Hosts(1), Key(1), 2, Some(Entry::Quota(5)));
+    Keeps::set(&mut store, Scope::Tenants(7), Key(5 << 40), 2, Some(Entry::Zone(true)));
+    assert_eq!((store.sum(), store.number(), store.through()), (sum, 2, 2));
+    assert_eq!(changed(&store), 1, "no scope more");
+    store.check().expect("kept up by change");
+
+    let version = |quota| Change { scope: Scope::Tenants(7), key: Key(1), entry: Some(Entry::Quota(quota)) };
+    store.pending(Version { number: 3, changes: vec![version(1)] });
+    store.pending(Version { number: 3, changes: vec![version(2)] });
+    assert_eq!((store.number(), store.through(), store.entry(Scope::Tenants(7), Key(1))), (2, 3, None));
+    store.in_force(3);
+    assert_eq!(store.entry(Scope::Tenants(7), Key(1)), Some(Entry::Quota(1)));
+}
+
+#[test]
+fn a_scope_that_is_cleared_leaves_nothing_but_a_new_start() {
+    let mut store = with_removals(9, 3);
+    Keeps::forget(&mut store, Scope::Tenants(7));
+    store.check().expect("kept up by change");
+    assert_eq!((store.is_empty(), store.tombstones(), store.sum()), (true, 0, Digest::default()));
+    assert!(store.piece(Scope::Tenants(7), Cursor::after(1), 99).anew);
+    // What was removed until it is next in force may be unknown too, and its followers have to hear of that.
+    Keeps::set(&mut store, Scope::Tenants(7), Key(1), 2, Some(Entry::Quota(1)));
+    store.in_force(5);
+    assert!(store.piece(Scope::Tenants(7), Cursor::after(4), 99).anew);
+    assert!(!store.piece(Scope::Tenants(7), Cursor::after(5), 99).anew);
+    assert_eq!(store.changed_since(4).collect::<Vec<_>>(), [Scope::Tenants(7)]);
+}
--- a/peers/tests/tables.rs
+++ b/peers/tests/tables.rs
@@ -188,6 +188,7 @@
         vec![(Scope::Tenants(1), vec![quota(2), quota(1)])],
         vec![(Scope::Tenants(1), vec![quota(1), quota(1)])],
         vec![(Scope::Hosts(1), vec![quota(1)])],
+        vec![(Scope::Tenants(1), vec![quota(1), (Key(2), Entry::Zone(true))])],
         vec![(Scope::Tenants(1), vec![])],
     ];
     wrong.push(vec![well[1].clone(), well[0].clone()]);
@@ -199,6 +200,10 @@
             "{told} of {scopes:?}"
         );
     }
+    let more = [&content[..], &[0]].concat();
+    assert!(
+        matches!(Snapshot::decode(&framed(&more)), Err(Unreadable::Content(what)) if what == "1 bytes too many")
+    );
     // A length of 2^62 entries with nothing behind it takes no memory.
     let long = [&content[..2], &[1, 4, 1], &[0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x3f]].concat();
     assert!(matches!(Snapshot::decode(&framed(&long)), Err(Unreadable::Content(_))));
@@ -244,6 +249,9 @@
         let bytes = tables.bytes() - around;
         assert!(bytes >= 12 * (n + 1) && bytes <= 12 * (n + 1 + n / 16), "{bytes} for {n}");
     }
+    let bytes = Snapshot { known: 1, in_force: 1, tables: tables.clone() }.encode().expect("bytes");
+    let read = Snapshot::decode(&bytes).expect("a snapshot").tables;
+    assert_eq!(read.bytes() - around, 12 * 5000);
     for (n, key) in keys.iter().enumerate().take(4999) {
         tables.set(scope, *key, 1, None);
         let (bytes, left) = (tables.bytes() - around, 4999 - n);
