Play the proof with machines between, which ask twice as often as gateways

Need: with a fifth of all messages lost on two floors, members were without a lease half of the time. Change: machines between ask every half of a gateway's interval; the formula of the time to in force follows. The same 300 schedules are played with 2 and 3 machines between, with faults of their own on top.

--- a/peers/src/follower.rs
+++ b/peers/src/follower.rs
@@ -165,6 +165,7 @@
     pub fn everything(terms: Terms, member: Member, keeps: K) -> Self {
         let mut follower = Follower::new(terms, member, keeps);
         follower.everything = true;
+        follower.patience_ms = terms.between_every_ms();
         follower.fetching.clear();
         follower
     }
@@ -204,6 +205,14 @@
         self.due = f64::NEG_INFINITY;
     }
 
+    fn every_ms(&self) -> f64 {
+        if self.everything {
+            self.terms.between_every_ms()
+        } else {
+            self.terms.ask_every_ms()
+        }
+    }
+
     /// When the next ask is due; in the past where it is at once. Without an answer it is after as long as with one, so that
     /// a lost message is made good soon; once answers have come too late, after twice as long, up to half a lease.
     pub fn next_ask(&self) -> f64 {
@@ -294,7 +303,7 @@
         // Guards against a grantor of the past. Had it less of what is to come than is known here, a scope that becomes
         // whole by its answer would lack the rest.
         if grant.in_force < self.in_force || grant.through < self.known.max(grant.in_force) {
-            self.due = asked.at + self.terms.ask_every_ms();
+            self.due = asked.at + self.every_ms();
             return Err(Refused::Past { in_force: grant.in_force, through: grant.through });
         }
         Ok(asked)
@@ -333,13 +342,13 @@
             self.until = self.until.max(asked.at + grant.lease_us as f64 / 1000.0);
         }
         // A way that has become short again.
-        if now - asked.at < self.terms.ask_every_ms() / 2.0 {
-            self.patience_ms = self.terms.ask_every_ms();
+        if now - asked.at < self.every_ms() / 2.0 {
+            self.patience_ms = self.every_ms();
         }
         let starts = self.everything && !self.fetching.is_empty();
         let tells = starts || self.known > asked.known || self.in_force > asked.in_force;
-        let pause = if tells { self.terms.ask_soon_ms() } else { self.terms.ask_every_ms() };
-        self.due = (asked.at + pause).max(now.min(asked.at + self.terms.ask_every_ms()));
+        let pause = if tells { self.terms.ask_soon_ms() } else { self.every_ms() };
+        self.due = (asked.at + pause).max(now.min(asked.at + self.every_ms()));
         news
     }
 
--- a/peers/src/lease.rs
+++ b/peers/src/lease.rs
@@ -66,6 +66,11 @@
         self.lease_ms / 5.0
     }
 
+    /// How often a machine between asks anew, in ms: its leases bound those of its followers, and its word is waited for.
+    pub fn between_every_ms(&self) -> f64 {
+        self.ask_every_ms() / 2.0
+    }
+
     /// How soon a member asks anew that has something to tell: that it knows, or acts on, more than it said.
     pub fn ask_soon_ms(&self) -> f64 {
         self.ask_every_ms() / 8.0
@@ -84,10 +89,10 @@
     /// soon. A version waits for its batch; then until who died is counted no more, or until the version before, which may
     /// have come into force just then, is acted on by all; and has two floors to go down.
     pub fn in_force_ms(&self) -> f64 {
-        let waits = self.ask_every_ms() / (1.0 - self.drift) + self.round_trip_ms;
-        let soon = self.ask_soon_ms() / (1.0 - self.drift) + self.round_trip_ms;
-        let there_and_back = 2.0 * waits + 2.0 * soon;
-        let held = self.held_ms() / (1.0 - self.drift) + soon;
-        self.batch_ms / (1.0 - self.drift) + held.max(2.0 * there_and_back) + 2.0 * waits
+        let takes = |ms: f64| ms / (1.0 - self.drift) + self.round_trip_ms;
+        let down = takes(self.between_every_ms()) + takes(self.ask_every_ms());
+        let up = 2.0 * takes(self.ask_soon_ms());
+        let held = self.held_ms() / (1.0 - self.drift) + takes(self.ask_soon_ms());
+        self.batch_ms / (1.0 - self.drift) + held.max(2.0 * (down + up)) + down
     }
 }
--- a/peers/tests/agreement.rs
+++ b/peers/tests/agreement.rs
@@ -142,6 +142,11 @@
     agrees([3, 5, 7, 20], [0; 4]);
 }
 
+#[test]
+fn no_two_members_contradict_each_other_for_longer_with_machines_between() {
+    agrees([3, 5, 7, 20], [2, 2, 3, 3]);
+}
+
 #[test]
 fn three_hundred_and_fifty_members_agree_too() {
     for between in [0, 3] {
