--- a/peers/src/follower.rs
+++ b/peers/src/follower.rs
@@ -327,7 +327,7 @@
         }
         if !self.everything {
             for version in grant.pending.iter().filter(|v| v.number > grant.in_force) {
-                self.to_come(version.number, &version.changes, &mut news);
+                self.coming(version.number, &version.changes, &mut news);
             }
         }
         if grant.in_force > self.in_force {
@@ -366,7 +366,7 @@
     }
 
     /// A version that is to come. Of one that is known it may tell more: what it changes in a scope that is whole only now.
-    fn to_come(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
+    fn coming(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
         let mut mine = Vec::new();
         for change in changes {
             let behind = self.fetching.get(&change.scope).is_some_and(|f| f.staged.is_some());
