Replace an entry in its place in the store, and test misfits that come by version

Need: a change took an entry out of its tree and put it in again; a planted fault showed that no test had an entry of the wrong kind come by a version.

Change: one insertion gives the old entry back; what a version sets that does not fit its scope is tested to change nothing.

--- a/peers/src/store.rs
+++ b/peers/src/store.rs
@@ -45,19 +45,6 @@
 }
 
 impl Held {
-    /// The place that a key has in either order is given up.
-    fn lift(&mut self, scope: Scope, key: Key) -> Option<Number> {
-        if let Some((changed, entry)) = self.entries.remove(&key) {
-            self.order.remove(&(changed, key));
-            self.digest.remove(scope, key, &entry);
-        }
-        let removed = self.removed.remove(&key);
-        if let Some(changed) = removed {
-            self.removals.remove(&(changed, key));
-        }
-        removed
-    }
-
     /// Whether who has had all up to a version is better off with a new start: tombstones are gone that it would need, or
     /// those it needs take more bytes than the entries it is spared. Both are summed up side by side until the shorter one
     /// ends, and who goes on within a fetch is not asked again.
@@ -80,6 +67,15 @@
     }
 }
 
+/// Notes that a version changed a scope.
+fn touch(by_last: &mut BTreeSet<(Number, Scope)>, scope: Scope, held: &mut Held, number: Number) {
+    if number > held.last {
+        by_last.remove(&(held.last, scope));
+        by_last.insert((number, scope));
+        held.last = number;
+    }
+}
+
 /// Bytes of an entry in a [`Part`].
 fn size(changed: Number, key: Key, entry: Option<Entry>) -> usize {
     // Three integers of at most ten bytes and an entry of under thirty.
@@ -165,8 +161,8 @@
         for scope in std::mem::take(&mut self.begun) {
             if let Some(held) = self.scopes.get_mut(&scope) {
                 held.horizon = held.horizon.max(number);
+                touch(&mut self.by_last, scope, held, number);
             }
-            self.touch(scope, number);
         }
     }
 
@@ -192,9 +188,10 @@
         self.entries -= old.entries.len();
         self.sum.0 = self.sum.0.wrapping_sub(old.digest.0);
         let horizon = old.horizon.max(self.number);
-        self.scopes.insert(scope, Held { horizon, last: old.last, ..Held::default() });
+        let mut held = Held { horizon, last: old.last, ..Held::default() };
+        touch(&mut self.by_last, scope, &mut held, self.number);
+        self.scopes.insert(scope, held);
         self.begun.insert(scope);
-        self.touch(scope, self.number);
     }
 
     fn put(&mut self, scope: Scope, key: Key, changed: Number, entry: Option<Entry>) {
@@ -204,11 +201,19 @@
         let horizon = self.complete_from;
         let held = self.scopes.entry(scope).or_insert_with(|| Held { horizon, ..Held::default() });
         let (count, digest) = (held.entries.len(), held.digest);
-        if let Some(removed) = held.lift(scope, key) {
+        let old = match entry {
+            Some(entry) => held.entries.insert(key, (changed, entry)),
+            None => held.entries.remove(&key),
+        };
+        if let Some((changed, old)) = old {
+            held.order.remove(&(changed, key));
+            held.digest.remove(scope, key, &old);
+        }
+        if let Some(removed) = held.removed.remove(&key) {
+            held.removals.remove(&(removed, key));
             self.tombstones.remove(&(removed, scope, key));
         }
         if let Some(entry) = entry {
-            held.entries.insert(key, (changed, entry));
             held.order.insert((changed, key));
             held.digest.add(scope, key, &entry);
         } else {
@@ -218,17 +223,7 @@
         }
         self.entries = self.entries + held.entries.len() - count;
         self.sum.0 = self.sum.0.wrapping_add(held.digest.0).wrapping_sub(digest.0);
-        self.touch(scope, changed);
-    }
-
-    /// Notes that a version changed a scope.
-    fn touch(&mut self, scope: Scope, number: Number) {
-        let Some(held) = self.scopes.get_mut(&scope) else { return };
-        if number > held.last {
-            self.by_last.remove(&(held.last, scope));
-            self.by_last.insert((number, scope));
-            held.last = number;
-        }
+        touch(&mut self.by_last, scope, held, changed);
     }
 
     /// The version in force; 0 for none.
@@ -339,7 +334,8 @@
         while let Some((number, scope, key)) = self.tombstones.first().copied().filter(|t| t.0 < before) {
             self.tombstones.pop_first();
             if let Some(held) = self.scopes.get_mut(&scope) {
-                held.lift(scope, key);
+                held.removed.remove(&key);
+                held.removals.remove(&(number, key));
                 held.horizon = held.horizon.max(number);
             }
         }
--- a/peers/tests/store.rs
+++ b/peers/tests/store.rs
@@ -420,11 +420,13 @@
     store.check().expect("kept up by change");
 
     let version = |quota| Change { scope: Scope::Tenants(7), key: Key(1), entry: Some(Entry::Quota(quota)) };
-    store.pending(Version { number: 3, changes: vec![version(1)] });
+    let misfit = Change { scope: Scope::Hosts(1), key: Key(1), entry: Some(Entry::Quota(5)) };
+    store.pending(Version { number: 3, changes: vec![version(1), misfit] });
     store.pending(Version { number: 3, changes: vec![version(2)] });
     assert_eq!((store.number(), store.through(), store.entry(Scope::Tenants(7), Key(1))), (2, 3, None));
     store.in_force(3);
     assert_eq!(store.entry(Scope::Tenants(7), Key(1)), Some(Entry::Quota(1)));
+    assert_eq!((store.len(Scope::Hosts(1)), changed(&store)), (0, 1));
 }
 
 #[test]
