--- /dev/null
+++ b/control/tests/frames.rs
@@ -0,0 +1,113 @@
+//! Frames on a stream: cut anywhere, joined anyhow, and none that is malformed gets through.
+use ternstack_control::frames::{write, Broken, Counter, Frames};
+use ternstack_peers::scope::{Change, Digest, Entry, Key, Scope, Version};
+use ternstack_peers::wire::{Cursor, Grant, Malformed, Message, Part, HEADER, LONGEST};
+use tokio::io::{duplex, AsyncWriteExt};
+
+fn grant(parts: Vec<Part>, pending: Vec<Version>) -> Message {
+    Message::Grant(Grant {
+        number: 7,
+        interest: 1,
+        lease_us: 1_900_000,
+        in_force: 3,
+        through: 4,
+        parts,
+        behind: Vec::new(),
+        pending,
+    })
+}
+
+fn part(scope: Scope, entries: u64) -> Part {
+    let entries = (0..entries).map(|n| (1, Key(n), Some(Entry::Quota(9)))).collect();
+    Part { scope, anew: true, entries, whole: Some(Digest(1)) }
+}
+
+async fn bytes(message: &Message) -> Vec<u8> {
+    let (mut bytes, mut scratch) = (Vec::new(), Vec::new());
+    let n = write(&mut bytes, message, &mut scratch).await.expect("it fits");
+    assert_eq!(n, bytes.len());
+    bytes
+}
+
+#[tokio::test]
+async fn messages_come_whole_however_their_bytes_come() {
+    let messages = [Message::Look, grant(vec![part(Scope::Tenants(1), 5000)], vec![]), Message::Look];
+    let mut all = Vec::new();
+    for message in &messages {
+        all.extend(bytes(message).await);
+    }
+    for chunk in [1, 7, 4096, all.len()] {
+        let (mut to, from) = duplex(chunk);
+        let sent = all.clone();
+        let writing = tokio::spawn(async move { to.write_all(&sent).await });
+        let mut frames = Frames::new(from);
+        for message in &messages {
+            assert_eq!(frames.next().await.expect("sound").expect("one more").0, *message);
+        }
+        assert!(frames.next().await.expect("a clean end").is_none());
+        assert_eq!(frames.received(), all.len() as u64);
+        writing.await.expect("no panic").expect("written");
+    }
+}
+
+#[tokio::test]
+async fn what_is_no_frame_is_told_by_what_was_expected() {
+    let sound = bytes(&Message::Look).await;
+    let mut swapped = sound.clone();
+    *swapped.last_mut().expect("a byte") ^= 1;
+    let long = ((LONGEST - 3) as u32).to_be_bytes();
+    for (given, told) in [
+        (&sound[..HEADER], "ended after 9 bytes"),
+        (&swapped, "checksum"),
+        (&long, "expected 9 to 1048576"),
+        (b"GET / HTTP/1.1\r\n\r\n", "expected 9 to 1048576"),
+        (&[0, 0, 0, 9, 77], "format 77, expected 1"),
+    ] {
+        let words = match Frames::new(given).next().await {
+            Err(broken) => broken.to_string(),
+            other => panic!("{told}: {other:?}"),
+        };
+        assert!(words.contains(told), "{words}");
+    }
+}
+
+#[tokio::test]
+async fn a_frame_of_the_longest_length_is_read_and_a_byte_more_is_not() {
+    // Content that is no message, of a length that is allowed: the whole of it is read before that is told.
+    let content = vec![0xff; LONGEST - HEADER];
+    let mut longest = ((LONGEST - 4) as u32).to_be_bytes().to_vec();
+    longest.push(1);
+    longest.extend(crc32fast::hash(&content).to_be_bytes());
+    longest.extend(content);
+    let mut frames = Frames::new(&longest[..]);
+    assert!(matches!(frames.next().await, Err(Broken::Malformed(Malformed::Content(_)))));
+    assert_eq!(frames.received(), LONGEST as u64);
+}
+
+#[tokio::test]
+async fn bytes_are_counted_by_cause_and_none_is_lost() {
+    let counter = Counter::default();
+    let change = Change { scope: Scope::Zones, key: Key(1), entry: Some(Entry::Zone(false)) };
+    let version = Version { number: 4, changes: vec![change] };
+    let (news, fetched) = (part(Scope::Hosts(1), 2), part(Scope::Hosts(2), 50));
+    let fetch = [(Scope::Hosts(2), Cursor::default())];
+    let mut all = 0;
+    for (message, fetch) in [
+        (grant(vec![], vec![]), &[][..]),
+        (grant(vec![news.clone()], vec![]), &[]),
+        (grant(vec![], vec![version.clone()]), &[]),
+        (grant(vec![news, fetched], vec![version]), &fetch),
+        (Message::Look, &[]),
+    ] {
+        let n = bytes(&message).await.len();
+        counter.written(&message, n, fetch);
+        all += n as u64;
+    }
+    let counts = counter.counts();
+    let written = counts.written;
+    let tallies = [written.asks, written.leases, written.changes, written.starts, written.staff];
+    assert_eq!(tallies.map(|t| t.messages), [0, 1, 2, 1, 1]);
+    assert_eq!(tallies.iter().map(|t| t.bytes).sum::<u64>(), all);
+    assert!(written.starts.bytes > 100 && written.changes.bytes > 20 && written.leases.bytes > 40);
+    assert_eq!(counts.read, Default::default());
+}
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -5,7 +5,7 @@
 //!
 //! A frame is four bytes of length (big endian, of what follows), one byte [`FORMAT`], four bytes CRC-32 (IEEE, big endian,
 //! of the rest), and a [`Message`] in postcard's encoding.
-use crate::scope::{Digest, Entry, Key, Number, Scope, Version};
+use crate::scope::{Change, Digest, Entry, Key, Number, Scope, Version};
 use serde::{Deserialize, Serialize};
 
 /// The encoding's version. A frame of another one is refused.
@@ -133,6 +133,77 @@
     Ask(Ask),
     /// From a grantor.
     Grant(Grant),
+    /// From the staff, to the origin: changes that are to come into force together.
+    Propose {
+        /// Tells the answer from those to others.
+        number: u64,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// From the origin, once the proposal is part of a version, or refused.
+    Proposed {
+        /// The proposal's number.
+        number: u64,
+        /// The version that it is part of; it comes into force later. Or why there is none.
+        version: Result<Number, String>,
+    },
+    /// From anybody: how is it there?
+    Look,
+    /// The answer to that.
+    Status(Status),
+}
+
+/// How it is at a control machine.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// The machine's name.
+    pub name: String,
+    /// The version in force there.
+    pub in_force: Number,
+    /// The last version that is known there.
+    pub through: Number,
+    /// What its state sums up to, in the version in force.
+    pub sum: Digest,
+    /// How many hold leases that it gave.
+    pub followers: u64,
+    /// For how long its own lease lasts yet, in ms; `None` at the origin, which needs none.
+    pub lease_ms: Option<u64>,
+    /// Messages and bytes since its start.
+    pub counts: Counts,
+}
+
+/// Messages and their bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Messages.
+    pub messages: u64,
+    /// Bytes of their frames.
+    pub bytes: u64,
+}
+
+/// Messages and bytes by cause. A message counts once, by what there is most reason for it: a start, else changes, else a
+/// lease; its bytes are parted among these.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Causes {
+    /// Asks.
+    pub asks: Tally,
+    /// Answers without news, and what frames any answer.
+    pub leases: Tally,
+    /// Versions to come, and what has changed in scopes that were whole.
+    pub changes: Tally,
+    /// Pieces of scopes that were fetched.
+    pub starts: Tally,
+    /// Proposals, looks and their answers.
+    pub staff: Tally,
+}
+
+/// What was read and written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// From others.
+    pub read: Causes,
+    /// To others.
+    pub written: Causes,
 }
 
 /// Why bytes are no message.
--- a/peers/tests/wire.rs
+++ b/peers/tests/wire.rs
@@ -4,7 +4,8 @@
 use ternstack_peers::scope::{stricter, Change, Digest, Entry, Host, Key, Route, Scope, Version};
 use ternstack_peers::version::Repeat;
 use ternstack_peers::wire::{
-    decode, encode, Ask, Cursor, Grant, Interest, Malformed, Member, Message, Part, FORMAT, HEADER, LONGEST,
+    decode, encode, Ask, Causes, Counts, Cursor, Grant, Interest, Malformed, Member, Message, Part, Status,
+    Tally, FORMAT, HEADER, LONGEST,
 };
 
 #[derive(Clone, Debug)]
@@ -67,8 +68,28 @@
     }
 }
 
+fn change(g: &mut Gen) -> Change {
+    Change { scope: scope(g), key: Key(u64::arbitrary(g)), entry: some(g) }
+}
+
+fn causes(g: &mut Gen) -> Causes {
+    let mut tally = || Tally { messages: u64::arbitrary(g), bytes: u64::arbitrary(g) };
+    Causes { asks: tally(), leases: tally(), changes: tally(), starts: tally(), staff: tally() }
+}
+
+fn status(g: &mut Gen) -> Status {
+    Status {
+        name: String::arbitrary(g),
+        in_force: u64::arbitrary(g),
+        through: u64::arbitrary(g),
+        sum: Digest(u128::arbitrary(g)),
+        followers: u64::arbitrary(g),
+        lease_ms: Option::arbitrary(g),
+        counts: Counts { read: causes(g), written: causes(g) },
+    }
+}
+
 fn grant(g: &mut Gen) -> Grant {
-    let change = |g: &mut Gen| Change { scope: scope(g), key: Key(u64::arbitrary(g)), entry: some(g) };
     Grant {
         number: u64::arbitrary(g),
         interest: u64::arbitrary(g),
@@ -88,7 +109,15 @@
 
 impl Arbitrary for Any {
     fn arbitrary(g: &mut Gen) -> Self {
-        Any(if bool::arbitrary(g) { Message::Ask(ask(g)) } else { Message::Grant(grant(g)) })
+        let number = u64::arbitrary(g);
+        Any(match u8::arbitrary(g) % 6 {
+            0 => Message::Ask(ask(g)),
+            1 => Message::Grant(grant(g)),
+            2 => Message::Propose { number, changes: several(g, change) },
+            3 => Message::Proposed { number, version: Result::arbitrary(g) },
+            4 => Message::Look,
+            _ => Message::Status(status(g)),
+        })
     }
 }
 
