Carry agreed state over sockets: origin, distributors, a gateway's end, the staff's commands

Need: the state machines of peers have to run as processes, and hollow and real gateways need one and the same end.

--- a/control/src/choice.rs
+++ b/control/src/choice.rs
@@ -100,10 +100,9 @@
         Some((place, self.order[place]))
     }
 
-    /// A connection to the better one of that place is up, and used from now on.
-    pub fn taken(&mut self, place: usize, now: f64) {
+    /// The better one of that place is the machine from now on.
+    pub fn taken(&mut self, place: usize) {
         self.at = place;
-        self.connected(now);
     }
 
     /// From 0 to 1: SplitMix64.
--- a/control/src/frames.rs
+++ b/control/src/frames.rs
@@ -2,10 +2,7 @@
 use bytes::{BufMut, BytesMut};
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use ternstack_peers::scope::Scope;
-use ternstack_peers::wire::{
-    decode, encode, Causes, Counts, Cursor, Grant, Malformed, Message, Tally, LONGEST,
-};
+use ternstack_peers::wire::{decode, encode, Ask, Causes, Counts, Grant, Malformed, Message, Tally, LONGEST};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 
 /// What an empty buffer may keep, in bytes: more is given back, as thousands of connections have one each.
@@ -119,11 +116,11 @@
         self.0[cause].1.fetch_add(bytes as u64, Relaxed);
     }
 
-    fn take(&self, message: &Message, bytes: usize, fetched: &[(Scope, Cursor)]) {
+    fn take(&self, message: &Message, bytes: usize, asked: Option<&Ask>) {
         match message {
             Message::Ask(_) => self.add(ASKS, 1, bytes),
             Message::Grant(grant) => {
-                let (changes, starts) = parted(grant, fetched);
+                let (changes, starts) = parted(grant, asked);
                 let cause = match (starts > 0, changes > 0) {
                     (true, _) => STARTS,
                     (false, true) => CHANGES,
@@ -154,14 +151,14 @@
 }
 
 impl Counter {
-    /// A message was read. `fetched` is what its ask fetched, where it is an answer.
-    pub fn read(&self, message: &Message, bytes: usize, fetched: &[(Scope, Cursor)]) {
-        self.read.take(message, bytes, fetched);
+    /// A message was read; where it answers an ask, this one.
+    pub fn read(&self, message: &Message, bytes: usize, asked: Option<&Ask>) {
+        self.read.take(message, bytes, asked);
     }
 
-    /// A message was written. `fetched` is what its ask fetched, where it is an answer.
-    pub fn written(&self, message: &Message, bytes: usize, fetched: &[(Scope, Cursor)]) {
-        self.written.take(message, bytes, fetched);
+    /// A message was written; where it answers an ask, this one.
+    pub fn written(&self, message: &Message, bytes: usize, asked: Option<&Ask>) {
+        self.written.take(message, bytes, asked);
     }
 
     /// All so far.
@@ -170,13 +167,16 @@
     }
 }
 
-/// The bytes of an answer that are changes, and those that are pieces of what was fetched.
-fn parted(grant: &Grant, fetched: &[(Scope, Cursor)]) -> (usize, usize) {
+/// The bytes of an answer that are changes, and those that are pieces of what was fetched: also all that a machine between
+/// is sent which has nothing yet.
+fn parted(grant: &Grant, asked: Option<&Ask>) -> (usize, usize) {
+    let starts_all = asked.is_some_and(|ask| ask.known == 0);
+    let is_fetched = |scope| asked.is_some_and(|ask| ask.fetch.iter().any(|(fetched, _)| *fetched == scope));
     let (mut changes, mut starts) = (0, 0);
     changes += grant.pending.iter().map(size).sum::<usize>();
     changes += grant.behind.iter().map(size).sum::<usize>();
     for part in &grant.parts {
-        match fetched.iter().any(|(scope, _)| *scope == part.scope) {
+        match starts_all || is_fetched(part.scope) {
             true => starts += size(part),
             false => changes += size(part),
         }
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -7,5 +7,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub(crate) mod asking;
+pub mod beside;
 pub mod choice;
+pub mod clock;
+pub mod follow;
 pub mod frames;
+pub mod operator;
+pub mod serve;
+pub mod staff;
--- /dev/null
+++ b/control/tests/common/mod.rs
@@ -0,0 +1,173 @@
+//! An origin, distributors and followers as tasks on loopback, and what a test awaits of them.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use ternstack_control::follow::{Beside, Follow, Following, Machine, Told};
+use ternstack_control::serve;
+use ternstack_peers::distributor::Distributor;
+use ternstack_peers::lease::Terms;
+use ternstack_peers::origin::Origin;
+use ternstack_peers::scope::{Change, Entry, Host, Key, Number, Scope, Version};
+use ternstack_peers::store::Store;
+use ternstack_peers::wire::Member;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+/// Far longer than anything here takes: a test that hangs ends, and none depends on speed.
+pub const LONG: Duration = Duration::from_secs(60);
+/// The service that all here follow.
+pub const SERVICE: Scope = Scope::Hosts(7);
+
+/// Short leases, so that what waits for one to run out does not wait long.
+pub fn terms() -> Terms {
+    Terms { lease_ms: 700.0, batch_ms: 20.0, ..Terms::default() }
+}
+
+pub fn host(n: u64, drains: bool) -> Change {
+    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1000 + n as u16);
+    let host = Host { address, zone: 1, drains, weight_milli: 1000, started_s: 0 };
+    Change { scope: SERVICE, key: Key(n), entry: Some(Entry::Host(host)) }
+}
+
+/// State with so many hosts of the service, in force as version 1.
+pub fn store(hosts: u64) -> Store {
+    let mut store = Store::new();
+    let mut changes: Vec<Change> = (0..hosts).map(|n| host(n, false)).collect();
+    changes.push(Change { scope: Scope::Zones, key: Key::numbered(1), entry: Some(Entry::Zone(true)) });
+    store.pending(Version { number: 1, changes });
+    store.in_force(1);
+    store
+}
+
+pub async fn listener() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    (listener, at)
+}
+
+/// A machine that runs until it is killed.
+pub struct Running<C> {
+    pub machine: Arc<serve::Machine<C>>,
+    pub at: SocketAddr,
+    pub task: JoinHandle<()>,
+}
+
+impl<C> Running<C> {
+    /// Kills it: its listener and its connections end at once.
+    pub async fn kill(&mut self) {
+        self.task.abort();
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl<C> Drop for Running<C> {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub async fn origin(hosts: u64) -> Running<Origin> {
+    let (listener, at) = listener().await;
+    let machine = serve::Machine::origin("o", terms(), store(hosts));
+    let run = machine.clone().run(listener);
+    Running { machine, at, task: tokio::spawn(async move { match run.await {} }) }
+}
+
+pub async fn distributor(name: &str, grantor: SocketAddr) -> Running<Distributor> {
+    let (listener, at) = listener().await;
+    let machine = serve::Machine::distributor(Member { name: name.into(), incarnation: 1 }, terms());
+    let run = machine.clone().run(listener, vec![grantor], terms());
+    let running = Running { machine, at, task: tokio::spawn(async move { match run.await {} }) };
+    let complete = || {
+        running.machine.with(|core, now| core.follower().is_complete() && core.follower().lease_until() > now)
+    };
+    let waited = timeout(LONG, async {
+        while !complete() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    });
+    waited.await.expect("it has all in the end");
+    running
+}
+
+/// A follower of the service.
+pub struct Gateway {
+    pub following: Arc<Following>,
+    pub told: mpsc::UnboundedReceiver<Told>,
+    /// All that was told so far.
+    pub all: Arc<Mutex<Vec<Told>>>,
+    pub task: JoinHandle<()>,
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+pub fn machine(name: &str, address: SocketAddr, zone: &str) -> Machine {
+    Machine { name: name.into(), address, zone: zone.into(), region: "north".into() }
+}
+
+pub fn follow(name: &str, incarnation: u64, machines: Vec<Machine>) -> Follow {
+    Follow {
+        member: Member { name: name.into(), incarnation },
+        zone: "a".into(),
+        region: "north".into(),
+        machines,
+        terms: terms(),
+        beside: None,
+        wanted: vec![(SERVICE, 1.0)],
+    }
+}
+
+pub fn beside(path: &std::path::Path) -> Option<Beside> {
+    Some(Beside { path: path.to_path_buf(), every: LONG, thread: true })
+}
+
+impl Gateway {
+    pub fn start(follow: Follow) -> Self {
+        let following = Following::new(follow);
+        let (tell, told) = mpsc::unbounded_channel();
+        let (running, all) = (following.clone(), Arc::new(Mutex::new(Vec::new())));
+        let heard = all.clone();
+        let task = tokio::spawn(async move {
+            let tell = move |_, what| {
+                heard.lock().expect("no panic").push(what);
+                let _ = tell.send(what);
+            };
+            match running.run(tell).await {}
+        });
+        Gateway { following, told, all, task }
+    }
+
+    /// Waits until something holds here, looking at it after whatever is told.
+    pub async fn until(&mut self, what: &str, holds: impl Fn(&Following) -> bool) {
+        let waited = timeout(LONG, async {
+            while !holds(&self.following) {
+                self.told.recv().await.expect("it runs");
+            }
+        });
+        waited.await.unwrap_or_else(|_| panic!("{what}: never at {}", self.following.name()));
+    }
+
+    /// Waits until it acts on a version, or a later one, by a lease.
+    pub async fn acts_on(&mut self, number: Number) {
+        let acts = |f: &Following| f.in_force() >= number && f.is_leased();
+        self.until(&format!("version {number}"), acts).await;
+    }
+
+    /// Waits until it has its service whole.
+    pub async fn whole(&mut self) {
+        let whole = |f: &Following| f.with(|core, _| core.is_complete()) && f.is_leased();
+        self.until("whole", whole).await;
+    }
+}
+
+pub fn drains(following: &Following, n: u64) -> bool {
+    matches!(following.entry(SERVICE, Key(n)), Some(Entry::Host(host)) if host.drains)
+}
--- a/control/tests/frames.rs
+++ b/control/tests/frames.rs
@@ -1,7 +1,9 @@
 //! Frames on a stream: cut anywhere, joined anyhow, and none that is malformed gets through.
 use ternstack_control::frames::{write, Broken, Counter, Frames};
 use ternstack_peers::scope::{Change, Digest, Entry, Key, Scope, Version};
-use ternstack_peers::wire::{Cursor, Grant, Malformed, Message, Part, HEADER, LONGEST};
+use ternstack_peers::wire::{
+    Ask, Cursor, Grant, Interest, Malformed, Member, Message, Part, HEADER, LONGEST,
+};
 use tokio::io::{duplex, AsyncWriteExt};
 
 fn grant(parts: Vec<Part>, pending: Vec<Version>) -> Message {
@@ -90,23 +92,34 @@
     let change = Change { scope: Scope::Zones, key: Key(1), entry: Some(Entry::Zone(false)) };
     let version = Version { number: 4, changes: vec![change] };
     let (news, fetched) = (part(Scope::Hosts(1), 2), part(Scope::Hosts(2), 50));
-    let fetch = [(Scope::Hosts(2), Cursor::default())];
+    let ask = |known, fetch| Ask {
+        member: Member { name: "g".into(), incarnation: 1 },
+        number: 7,
+        taken: 6,
+        known,
+        in_force: known,
+        interest: Interest::Same { revision: 1 },
+        fetch,
+    };
+    let (quiet, fetches) = (ask(3, vec![]), ask(3, vec![(Scope::Hosts(2), Cursor::default())]));
+    let begins = ask(0, vec![]);
     let mut all = 0;
-    for (message, fetch) in [
-        (grant(vec![], vec![]), &[][..]),
-        (grant(vec![news.clone()], vec![]), &[]),
-        (grant(vec![], vec![version.clone()]), &[]),
-        (grant(vec![news, fetched], vec![version]), &fetch),
-        (Message::Look, &[]),
+    for (message, asked) in [
+        (grant(vec![], vec![]), Some(&quiet)),
+        (grant(vec![news.clone()], vec![]), Some(&quiet)),
+        (grant(vec![news.clone()], vec![]), Some(&begins)),
+        (grant(vec![], vec![version.clone()]), Some(&quiet)),
+        (grant(vec![news, fetched], vec![version]), Some(&fetches)),
+        (Message::Look, None),
     ] {
         let n = bytes(&message).await.len();
-        counter.written(&message, n, fetch);
+        counter.written(&message, n, asked);
         all += n as u64;
     }
     let counts = counter.counts();
     let written = counts.written;
     let tallies = [written.asks, written.leases, written.changes, written.starts, written.staff];
-    assert_eq!(tallies.map(|t| t.messages), [0, 1, 2, 1, 1]);
+    assert_eq!(tallies.map(|t| t.messages), [0, 1, 2, 2, 1]);
     assert_eq!(tallies.iter().map(|t| t.bytes).sum::<u64>(), all);
     assert!(written.starts.bytes > 100 && written.changes.bytes > 20 && written.leases.bytes > 40);
     assert_eq!(counts.read, Default::default());
--- /dev/null
+++ b/control/tests/machines.rs
@@ -0,0 +1,111 @@
+//! An origin, two distributors and followers on real sockets. No outcome here depends on how fast the machine is.
+mod common;
+use common::*;
+use ternstack_control::follow::Told;
+use ternstack_peers::follower::News;
+use ternstack_peers::scope::{Change, Entry, Key, Number, Scope};
+
+/// Waits until a proposal from within is agreed on: the number of its version follows the last one.
+fn propose(origin: &Running<ternstack_peers::origin::Origin>, changes: Vec<Change>) -> Number {
+    let next = origin.machine.with(|core, _| core.store().through()) + 1;
+    origin.machine.propose(changes).expect("it is sound");
+    next
+}
+
+#[tokio::test]
+async fn a_change_comes_into_force_at_every_follower_through_two_distributors() {
+    let origin = origin(20).await;
+    let d = [distributor("d1", origin.at).await, distributor("d2", origin.at).await];
+    let all = vec![machine("d1", d[0].at, "a"), machine("d2", d[1].at, "b")];
+    let mut gateways: Vec<Gateway> =
+        (0..6).map(|n| Gateway::start(follow(&format!("g{n}"), 1, all.clone()))).collect();
+    for gateway in &mut gateways {
+        gateway.whole().await;
+        assert!(!drains(&gateway.following, 3));
+    }
+    let zone = Change { scope: Scope::Zones, key: Key::numbered(2), entry: Some(Entry::Zone(false)) };
+    let number = propose(&origin, vec![host(3, true), zone]);
+    for gateway in &mut gateways {
+        gateway.acts_on(number).await;
+        assert!(drains(&gateway.following, 3) && !drains(&gateway.following, 4));
+        let zone = gateway.following.entry(Scope::Zones, Key::numbered(2));
+        assert_eq!(zone, Some(Entry::Zone(false)));
+        // It was told of as to come before it came into force.
+        let heard = gateway.all.lock().expect("no panic").clone();
+        let at = |what| heard.iter().position(|told| *told == Told::News(what)).expect("it was told");
+        assert!(at(News::Known(number)) < at(News::InForce(number)));
+        assert_eq!(gateway.following.connected(), Some(0), "the one of its zone");
+    }
+    let status = origin.machine.status();
+    assert_eq!((status.name.as_str(), status.in_force, status.lease_ms), ("o", number, None));
+    assert_eq!(status.followers, 2);
+    assert!(status.counts.read.asks.messages > 0 && status.counts.written.starts.messages > 0);
+    // The distributor may hear of it a little later than those that it answers.
+    let held = d[0].machine.status();
+    assert_eq!(held.followers, 6);
+    assert!(held.in_force == number && held.sum == status.sum && held.lease_ms.is_some());
+}
+
+#[tokio::test]
+async fn followers_of_a_distributor_that_is_killed_go_on_at_the_other() {
+    let origin = origin(20).await;
+    let mut d = [distributor("d1", origin.at).await, distributor("d2", origin.at).await];
+    let all = vec![machine("d1", d[0].at, "a"), machine("d2", d[1].at, "b")];
+    let mut gateways: Vec<Gateway> =
+        (0..4).map(|n| Gateway::start(follow(&format!("g{n}"), 1, all.clone()))).collect();
+    for gateway in &mut gateways {
+        gateway.whole().await;
+        assert_eq!(gateway.following.connected(), Some(0));
+    }
+    d[0].kill().await;
+    let number = propose(&origin, vec![host(5, true)]);
+    for gateway in &mut gateways {
+        gateway.acts_on(number).await;
+        assert!(drains(&gateway.following, 5));
+        assert_eq!(gateway.following.connected(), Some(1));
+    }
+}
+
+#[tokio::test]
+async fn whoever_returns_with_its_snapshot_is_sent_what_changed_and_no_more() {
+    let origin = origin(400).await;
+    let distributor = distributor("d1", origin.at).await;
+    let all = vec![machine("d1", distributor.at, "a")];
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().join("g0.snapshot");
+    let mut first = follow("g0", 1, all.clone());
+    first.beside = beside(&path);
+    let mut gateway = Gateway::start(first.clone());
+    gateway.whole().await;
+    let start = gateway.following.counts().read.starts;
+    assert!(start.messages > 0 && start.bytes > 400 * 15, "{start:?}");
+    gateway.following.save().await.expect("it is written");
+    drop(gateway);
+
+    let number = propose(&origin, vec![host(5, true)]);
+    let mut watcher = Gateway::start(follow("g1", 1, all.clone()));
+    watcher.acts_on(number).await;
+
+    first.member.incarnation = 2;
+    let mut back = Gateway::start(first.clone());
+    back.acts_on(number).await;
+    assert!(drains(&back.following, 5) && !drains(&back.following, 6));
+    let counts = back.following.counts().read;
+    // A scope without entries is in no snapshot, and told anew.
+    assert!(counts.starts.bytes < 100 && counts.changes.bytes < 100, "{counts:?}");
+    let digest = |g: &Gateway| g.following.with(|core, _| core.keeps().sum());
+    watcher.whole().await;
+    assert_eq!(digest(&back), digest(&watcher));
+    drop(back);
+
+    // One byte is another: it is left unused, and all is fetched anew.
+    let mut bytes = std::fs::read(&path).expect("it is there");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    std::fs::write(&path, bytes).expect("it can be written");
+    first.member.incarnation = 3;
+    let mut again = Gateway::start(first);
+    again.whole().await;
+    assert!(again.following.counts().read.starts.bytes > 400 * 15);
+    assert_eq!(digest(&again), digest(&watcher));
+}
