--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod clock;
 pub mod config;
+pub mod control;
 pub mod decide;
 pub mod descriptors;
 pub mod discovery;
@@ -24,6 +25,7 @@
 pub mod upstream;
 
 use config::Config;
+use control::Control;
 use decide::Decider;
 use descriptors::Descriptors;
 use listener::{Front, Phase, ENDING, SPARE};
@@ -52,8 +54,18 @@
 pub async fn serve(
     config: Config, listener: TcpListener, discovery: watch::Receiver<SocketAddr>,
     told: impl Future<Output = ()>,
+) -> Result<(), String> {
+    serve_agreed(config, None, listener, discovery, told).await
+}
+
+/// The same; where there is a `control`, what is agreed on there takes the place of discovery, which is not asked.
+pub async fn serve_agreed(
+    config: Config, control: Option<Control>, listener: TcpListener, discovery: watch::Receiver<SocketAddr>,
+    told: impl Future<Output = ()>,
 ) -> Result<(), String> {
     let Config { name, seed, sockets, known, site, .. } = config;
+    let as_read = control.is_some().then(|| known.clone());
+    let known = if control.is_some() { control::renamed(known) } else { known };
     let listen = listener.local_addr().map_err(|e| format!("LB_LISTEN: {e}"))?;
     let (queue, inputs) = mpsc::channel(QUEUE);
     let (watch_wanted, watch_asked) = mpsc::channel(1);
@@ -77,7 +89,12 @@
     let front = Front::new(site, queue.clone(), phase_now, descriptors);
 
     let mut deciding = tokio::spawn(decider.run(inputs));
-    let following = tokio::spawn(discovery::follow(discovery, dial_timeout, held, turn, watch_asked, queue));
+    let following = match control {
+        Some(control) => {
+            tokio::spawn(control::follow(control, as_read.unwrap_or_default(), watch_asked, queue))
+        }
+        None => tokio::spawn(discovery::follow(discovery, dial_timeout, held, turn, watch_asked, queue)),
+    };
     let accepting = tokio::spawn(front.clone().accept(listener));
     info!(name, %listen, servers, rev, "serving");
     tokio::select! {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use ternstack_gateway::config::Config;
+use ternstack_gateway::control::Control;
 use ternstack_gateway::http1::{Ask, Reader, Start, Status, Whole, MAX_BODY};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -267,13 +268,18 @@
 
 impl Gateway {
     pub async fn start(config: &Value) -> Self {
+        Self::start_agreed(config, None).await
+    }
+
+    /// The same, with what an operators' file tells it.
+    pub async fn start_agreed(config: &Value, control: Option<Control>) -> Self {
         let config = Config::read(&config.to_string(), |_| None).expect("a sound configuration");
         let listener = TcpListener::bind(config.listen).await.expect("a free port");
         let at = listener.local_addr().expect("an address");
         let (stop, told) = oneshot::channel();
         let told = async move { drop(told.await) };
         let (discovery, now) = watch::channel(config.discovery);
-        let task = tokio::spawn(ternstack_gateway::serve(config, listener, now, told));
+        let task = tokio::spawn(ternstack_gateway::serve_agreed(config, control, listener, now, told));
         Gateway { at, discovery, stop: Some(stop), task }
     }
 
