--- a/peers/src/distributor.rs
+++ b/peers/src/distributor.rs
@@ -1,4 +1,4 @@
-//! A machine between: a follower of everything whose followers get what it has, and leases that never outlast its own.
+//! A machine between: a follower of everything, of an origin, whose followers get what it has, and leases that never outlast its own.
 //!
 //! It tells its grantor the least that is known to, and acted on by, itself and all whose leases by it still last. What it has
 //! said never goes back, and a new follower cannot make it a lie: whoever takes an answer knows all that was known here when
--- a/peers/src/follower.rs
+++ b/peers/src/follower.rs
@@ -78,12 +78,19 @@
 /// A scope that is not whole.
 #[derive(Clone, Debug)]
 struct Fetch {
+    since: Cursor, // Where it began.
     cursor: Cursor,
     heat: f64,
     /// `Some` where the scope is behind: what has come so far. Where it is starting, this goes to what is kept at once.
     staged: Option<Staged>,
 }
 
+impl Fetch {
+    fn starting(heat: f64) -> Self {
+        Fetch { since: Cursor::default(), cursor: Cursor::default(), heat, staged: None }
+    }
+}
+
 /// What has come of a scope that is behind.
 #[derive(Clone, Debug, Default)]
 struct Staged {
@@ -108,6 +115,7 @@
     known: Number,
     in_force: Number,
     revision: u64,
+    first: bool, // As far as is known, of this grantor.
     fetch: BTreeMap<Scope, Cursor>,
 }
 
@@ -125,7 +133,7 @@
     in_force: Number,
     until: f64,
     last: u64,
-    taken: u64,
+    heard: u64,
     asked: Option<Asked>,
     due: f64,
     patience_ms: f64, // With the ask that is out.
@@ -150,7 +158,7 @@
             in_force: 0,
             until: f64::NEG_INFINITY,
             last: 0,
-            taken: 0,
+            heard: 0,
             asked: None,
             due: f64::NEG_INFINITY,
             patience_ms: terms.ask_every_ms(),
@@ -178,8 +186,7 @@
         if let Some(whole) = self.whole.get_mut(&scope) {
             *whole = heat;
         } else if !self.everything {
-            let new = || Fetch { cursor: Cursor::default(), heat, staged: None };
-            self.fetching.entry(scope).or_insert_with(new).heat = heat;
+            self.fetching.entry(scope).or_insert_with(|| Fetch::starting(heat)).heat = heat;
         }
     }
 
@@ -233,18 +240,22 @@
             self.revision += 1;
             self.changed.append(&mut self.later);
         }
+        if self.told.is_none() {
+            self.begin_again();
+        }
         let fetch = self.hottest();
         self.asked = Some(Asked {
             at: now,
             known,
             in_force,
             revision: self.revision,
+            first: self.told.is_none(),
             fetch: fetch.iter().copied().collect(),
         });
         Ask {
             member: self.member.clone(),
             number: self.last,
-            taken: self.taken,
+            heard: self.heard,
             known,
             in_force,
             interest: self.interest(),
@@ -252,6 +263,17 @@
         }
     }
 
+    /// What was begun with one grantor is not gone on with at another: that one may have begun itself since, and not know
+    /// what was removed before.
+    fn begin_again(&mut self) {
+        for (scope, fetch) in &mut self.fetching {
+            if fetch.staged.is_none() && fetch.cursor != fetch.since {
+                self.keeps.clear(*scope);
+            }
+            fetch.cursor = fetch.since;
+        }
+    }
+
     fn interest(&self) -> Interest {
         let revision = self.revision;
         match self.told {
@@ -291,12 +313,13 @@
     pub(crate) fn accept(&mut self, grant: &Grant) -> Result<Asked, Refused> {
         if grant.number != self.last {
             // One that was not waited for: the way is longer than the patience.
-            if self.asked.is_some() && (self.taken + 1..self.last).contains(&grant.number) {
+            if self.asked.is_some() && (self.heard + 1..self.last).contains(&grant.number) {
                 self.patience_ms = (2.0 * self.patience_ms).min(self.terms.answer_within_ms());
             }
             return Err(Refused::Unasked);
         }
         let asked = self.asked.take().ok_or(Refused::Unasked)?;
+        self.heard = grant.number;
         if grant.interest != asked.revision {
             self.told = None;
             self.due = asked.at + self.terms.ask_soon_ms();
--- a/peers/src/follower/taking.rs
+++ b/peers/src/follower/taking.rs
@@ -9,7 +9,6 @@
     /// Takes an answer that was accepted.
     pub(crate) fn take(&mut self, now: f64, asked: Asked, grant: Grant) -> Vec<News> {
         let mut news = Vec::new();
-        self.taken = grant.number;
         (self.told, self.changed) = (Some(asked.revision), BTreeMap::new());
         // What was known comes into force before what has come, which is younger.
         let later = self.pending.split_off(&(grant.in_force + 1));
@@ -24,7 +23,7 @@
         }
         if !self.everything {
             for version in grant.pending.iter().filter(|v| v.number > grant.in_force) {
-                self.to_come(version.number, &version.changes, &mut news);
+                self.hear_of(version.number, &version.changes, &mut news);
             }
         }
         if grant.in_force > self.in_force {
@@ -43,7 +42,8 @@
             self.patience_ms = self.every_ms();
         }
         let starts = self.everything && !self.fetching.is_empty();
-        let tells = starts || self.known > asked.known || self.in_force > asked.in_force;
+        // The first answer gives no lease: that it was heard has to be told first.
+        let tells = starts || asked.first || self.known > asked.known || self.in_force > asked.in_force;
         let pause = if tells { self.terms.ask_soon_ms() } else { self.every_ms() };
         self.due = (asked.at + pause).max(now.min(asked.at + self.every_ms()));
         news
@@ -63,7 +63,7 @@
     }
 
     /// A version that is to come. Of one that is known it may tell more: what it changes in a scope that is whole only now.
-    fn to_come(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
+    fn hear_of(&mut self, number: Number, changes: &[Change], news: &mut Vec<News>) {
         let mut mine = Vec::new();
         for change in changes {
             let behind = self.fetching.get(&change.scope).is_some_and(|f| f.staged.is_some());
@@ -164,20 +164,20 @@
     fn start_anew(&mut self, scope: Scope, news: &mut Vec<News>) {
         let heat = self.whole.get(&scope).copied().unwrap_or_default();
         self.drop_scope(scope);
-        self.fetching.insert(scope, Fetch { cursor: Cursor::default(), heat, staged: None });
+        self.fetching.insert(scope, Fetch::starting(heat));
         news.push(News::Anew(scope));
     }
 
     /// A scope's changes since `known` did not fit in.
     fn fall_behind(&mut self, scope: Scope, known: Number, news: &mut Vec<News>) {
         if let Some(heat) = self.whole.remove(&scope) {
+            let since = Cursor::after(known);
             let staged = Some(Staged::default());
-            self.fetching.insert(scope, Fetch { cursor: Cursor::after(known), heat, staged });
+            self.fetching.insert(scope, Fetch { since, cursor: since, heat, staged });
             self.later.insert(scope, false);
             news.push(News::Behind(scope));
         } else if self.everything {
-            let new = || Fetch { cursor: Cursor::default(), heat: 0.0, staged: None };
-            self.fetching.entry(scope).or_insert_with(new);
+            self.fetching.entry(scope).or_insert_with(|| Fetch::starting(0.0));
         }
     }
 }
--- a/peers/src/grantor.rs
+++ b/peers/src/grantor.rs
@@ -77,13 +77,13 @@
     known: Number,
     in_force: Number,
     asked_at: f64,
-    /// The first answer since the one it said last that it took, and when it went out.
-    untaken: Option<(u64, f64)>,
+    /// The first answer of which it has not said that it came, nor any later one, and when it went out.
+    unheard: Option<(u64, f64)>,
     bytes: f64, // What it may be sent yet.
 }
 
 impl Followed {
-    fn new(now: f64, bytes: f64) -> Self {
+    fn new(now: f64, bytes: f64, first: u64) -> Self {
         Followed {
             revision: 0,
             whole: Whole::These(Bits::default()),
@@ -91,11 +91,18 @@
             known: 0,
             in_force: 0,
             asked_at: now,
-            untaken: None,
+            // Until it has heard anything it gets no lease.
+            unheard: Some((first, f64::NEG_INFINITY)),
             bytes,
         }
     }
 
+    /// What is to come goes whatever it takes, and again until it is heard. No more than a burst of that is owed, so that who
+    /// heard nothing for a while is not without pieces for longer than that.
+    fn spend(&mut self, bytes: usize, burst: f64) {
+        self.bytes = (self.bytes - bytes as f64).max(-burst);
+    }
+
     fn has(&self, numbered: &Numbered, scope: Scope) -> bool {
         match &self.whole {
             Whole::All => true,
@@ -156,14 +163,15 @@
     /// The answer to an ask that came at `now`, from what is in the store. Its lease is no longer than `may_lease_ms`, which
     /// is 0 where none may be given.
     ///
-    /// A lease never lasts past one lease's time after the first answer that its holder has not said to have taken: who asks
-    /// and hears no answer, over a link that is cut one way, holds the others up no longer than if it had died then.
+    /// A lease never lasts past one lease's time after the first answer that its holder has not said to have heard: who asks
+    /// and hears no answer, over a link that is cut one way, holds the others up no longer than if it had died then. For the
+    /// same reason nobody gets one with the first answer here: it might go from one grantor to the next and hear none.
     pub fn asked(&mut self, now: f64, store: &Store, may_lease_ms: f64, ask: &Ask) -> Grant {
         self.tidy(now);
         let everything = matches!(ask.interest, Interest::Everything { .. });
         let rate = if everything { self.terms.between_bytes_per_s } else { self.terms.bytes_per_s };
         let burst = rate * self.terms.burst_s;
-        let new = || Followed::new(now, burst);
+        let new = || Followed::new(now, burst, ask.number);
         let follower = self.followed.entry(ask.member.clone()).or_insert_with(new);
         let mut grant = Grant {
             number: ask.number,
@@ -177,8 +185,12 @@
         };
         follower.bytes = (follower.bytes + rate * (now - follower.asked_at).max(0.0) / 1000.0).min(burst);
         follower.asked_at = follower.asked_at.max(now);
+        if follower.unheard.is_some_and(|(number, _)| ask.heard >= number) {
+            follower.unheard = None;
+        }
+        let (_, since) = *follower.unheard.get_or_insert((ask.number, now));
         if !follower.interested(&mut self.numbered, &ask.interest) {
-            follower.bytes -= (bytes_of(ask) + bytes_of(&grant)) as f64;
+            follower.spend(bytes_of(ask) + bytes_of(&grant), burst);
             return grant;
         }
         grant.interest = follower.revision;
@@ -186,10 +198,6 @@
         changes(store, &self.numbered, follower, ask, most, &mut grant);
         fetched(store, ask, most, &mut grant);
         let complete = to_come(store, &self.numbered, follower, ask, &mut grant);
-        if follower.untaken.is_some_and(|(number, _)| ask.taken >= number) {
-            follower.untaken = None;
-        }
-        let (_, since) = *follower.untaken.get_or_insert((ask.number, now));
         let lease_ms = self.terms.lease_ms.min(may_lease_ms).min(since + self.terms.lease_ms - now);
         // Who is not told all that is to come must not be taken for one that knows it.
         if complete && lease_ms > 0.0 {
@@ -199,7 +207,7 @@
         // What it is sent now counts as known only once it says so.
         follower.known = follower.known.max(ask.known);
         follower.in_force = follower.in_force.max(ask.in_force);
-        follower.bytes -= (bytes_of(ask) + bytes_of(&grant)) as f64;
+        follower.spend(bytes_of(ask) + bytes_of(&grant), burst);
         grant
     }
 
--- a/peers/src/wire.rs
+++ b/peers/src/wire.rs
@@ -80,8 +80,8 @@
     pub member: Member,
     /// Tells the answer from those to earlier ones.
     pub number: u64,
-    /// The number of the last ask whose answer it has taken, from whomever; 0 for none.
-    pub taken: u64,
+    /// The number of the last ask whose answer has come, from whomever; 0 for none.
+    pub heard: u64,
     /// All versions up to this one are known to it, in every scope that it has whole; a machine between: to all that it
     /// answers for.
     pub known: Number,
