--- a/control/tests/faults.rs
+++ b/control/tests/faults.rs
@@ -53,7 +53,7 @@
     Message::Ask(Ask {
         member: Member { name: "foreign".into(), incarnation: 1 },
         number,
-        taken: 0,
+        heard: 0,
         known: 0,
         in_force: 0,
         interest: Interest::Whole { revision: 1, scopes: vec![] },
