Refuse an operators' file whose gateway follows no service

Need: with no service the agreed list would be empty, and take the place of the warm copy. Result: control's four tests of the file pass, one case more in them.

--- a/control/src/operator.rs
+++ b/control/src/operator.rs
@@ -211,6 +211,9 @@
             if operator.zone_of(&gateway.zone).is_none() {
                 return Err(text.not(&[K("gateway"), K("zone")], &zones()));
             }
+            if gateway.services.is_empty() {
+                return Err(text.not(&[K("gateway"), K("services")], "one at least"));
+            }
             for (n, name) in gateway.services.iter().enumerate() {
                 if operator.service_of(name).is_none() {
                     let services = list(operator.service.iter().map(|s| &s.name));
--- a/control/tests/operator.rs
+++ b/control/tests/operator.rs
@@ -54,6 +54,7 @@
         ("zone = \"south-a\"", "zone = \"west\"", &["machine.zone: expected one of north-a, south-a"]),
         ("zone = \"north-a\"\nservices", "zone = \"west\"\nservices", &["gateway.zone: expected one of"]),
         ("[\"desks\"]", "[\"rooms\"]", &["gateway.services: expected one of desks"]),
+        ("[\"desks\"]", "[]", &["gateway.services: expected one at least"]),
         ("number = 2", "number = 1", &["zone.number: expected one of its own"]),
         ("number = 2", "number = 70000", &["number: ", "u16"]),
         (
