Test that a distributor without a lease, and one that hangs, are left for the next

Need: only an abrupt end had been tested on sockets. Change: one test with a link that is cut above a distributor, and a listener that never reads.

--- a/control/tests/machines.rs
+++ b/control/tests/machines.rs
@@ -4,6 +4,8 @@
 use ternstack_control::follow::Told;
 use ternstack_peers::follower::News;
 use ternstack_peers::scope::{Change, Entry, Key, Number, Scope};
+use tokio::io::copy_bidirectional;
+use tokio::net::TcpStream;
 
 /// Waits until a proposal from within is agreed on: the number of its version follows the last one.
 fn propose(origin: &Running<ternstack_peers::origin::Origin>, changes: Vec<Change>) -> Number {
@@ -109,3 +111,38 @@
     assert!(again.following.counts().read.starts.bytes > 400 * 15);
     assert_eq!(digest(&again), digest(&watcher));
 }
+
+#[tokio::test]
+async fn a_distributor_that_lost_its_origin_and_one_that_hangs_are_left() {
+    let origin = origin(20).await;
+    // The first one follows by a link that is to be cut.
+    let (between, at) = listener().await;
+    let to = origin.at;
+    let link = tokio::spawn(async move {
+        let (mut stream, _) = between.accept().await.expect("it is called");
+        let mut origin = TcpStream::connect(to).await.expect("it listens");
+        let _ = copy_bidirectional(&mut stream, &mut origin).await;
+    });
+    let cut_off = distributor("d1", at).await;
+    let sound = distributor("d2", origin.at).await;
+    // It takes connections, and nothing is ever read there, as of a process that is stopped.
+    let (hanging, hangs_at) = listener().await;
+    let all = |first| vec![machine("d1", first, "a"), machine("d2", sound.at, "b")];
+    let mut one = Gateway::start(follow("g1", 1, all(cut_off.at)));
+    one.whole().await;
+    assert_eq!(one.following.connected(), Some(0));
+    link.abort();
+    let _ = link.await;
+    let mut other = Gateway::start(follow("g2", 1, all(hangs_at)));
+    let number = propose(&origin, vec![host(5, true)]);
+    for gateway in [&mut one, &mut other] {
+        gateway.acts_on(number).await;
+        gateway.whole().await;
+        assert!(drains(&gateway.following, 5));
+        assert_eq!(gateway.following.connected(), Some(1));
+    }
+    // The one that was cut off still answers, without a lease: what it has is not in force any more.
+    let status = cut_off.machine.status();
+    assert_eq!((status.in_force, status.lease_ms), (1, Some(0)));
+    drop(hanging);
+}
