Give no server work by a version that is heard of without a lease

Need: a grantor without a lease of its own still tells news; by it a gateway took arrivals and ended drains, and the issue asks that nothing new arrives then. Change: without a lease the gateway's view only takes work away; a test plays a control machine that grants news and no leases.

--- a/gateway/src/control.rs
+++ b/gateway/src/control.rs
@@ -101,6 +101,8 @@
     told: BTreeMap<Key, Endpoint>,
     /// All services have been whole once: what is not there is gone.
     complete: bool,
+    /// This is the look by which they are.
+    first: bool,
 }
 
 impl View {
@@ -114,6 +116,13 @@
                 (Acting::Unknown, _) => unknown = true,
                 (_, Some(Entry::Host(host))) => {
                     let mut endpoint = self.endpoint(core, now, key, &host);
+                    if acting == Acting::Neutral && self.complete && !self.first {
+                        // Versions in force may be heard of without a lease: nothing takes work by these that took none.
+                        let Some(told) = self.told.get(&key) else { continue };
+                        if told.state == State::Draining || told.endpoint != endpoint.endpoint {
+                            endpoint.state = State::Draining;
+                        }
+                    }
                     // Of two services the stricter word counts.
                     if seen.as_ref().is_some_and(|seen: &Endpoint| seen.state == State::Draining) {
                         endpoint.state = State::Draining;
@@ -158,8 +167,9 @@
     fn look(&mut self, core: &Follower<Tables>, now: f64, dirty: Dirty) -> Vec<EndpointList> {
         let rev = core.in_force();
         let known = |scope: &Scope| core.acting(now, *scope) != Acting::Unknown;
-        let first = !self.complete && self.services.iter().all(known);
-        self.complete |= first;
+        self.first = !self.complete && self.services.iter().all(known);
+        self.complete |= self.first;
+        let first = self.first;
         let keys = if dirty.all || first { self.keys(core) } else { dirty.keys };
         let (mut changed, mut gone) = (Vec::new(), Vec::new());
         for key in keys {
@@ -190,7 +200,7 @@
     let Control { follow, zones } = control;
     let services = follow.wanted.iter().map(|(scope, _)| *scope).collect();
     let cells = known.targets.iter().map(|entry| (Key::of(&entry.uid), entry.pod_group)).collect();
-    let mut view = View { services, zones, cells, told: BTreeMap::new(), complete: false };
+    let mut view = View { services, zones, cells, told: BTreeMap::new(), complete: false, first: false };
     let reading = tokio::task::spawn_blocking(move || Following::new(follow));
     let Ok(following) = reading.await else { return warn!("control: the snapshot could not be read") };
     let (dirty, changed) = (Mutex::new(Dirty { all: true, keys: BTreeSet::new() }), Notify::new());
--- a/gateway/tests/control.rs
+++ b/gateway/tests/control.rs
@@ -8,11 +8,16 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use ternstack_control::clock::Clock;
+use ternstack_control::frames::{write, Frames};
 use ternstack_control::operator::{changes, Operator};
 use ternstack_control::serve::Machine;
 use ternstack_control::staff;
 use ternstack_gateway::control::Control;
+use ternstack_peers::grantor::Grantor;
+use ternstack_peers::scope::Version;
 use ternstack_peers::store::Store;
+use ternstack_peers::wire::Message;
 use tokio::net::TcpListener;
 use tokio::process::Command;
 use tokio::task::JoinHandle;
@@ -218,6 +223,76 @@
     assert_eq!(two.so_far(), (vec![], 0));
 }
 
+/// A control machine that the test plays: what it has, and whether it gives leases.
+struct Played {
+    store: Store,
+    grantor: Grantor,
+    leases: bool,
+}
+
+impl Played {
+    /// Brings a version into force at once.
+    fn agree(played: &Mutex<Played>, operator: &Operator, text: &str) {
+        let changes = changes(operator, "changes.toml", text).expect("they are sound");
+        let mut played = played.lock().expect("no panic");
+        let number = played.store.through() + 1;
+        played.store.pending(Version { number, changes });
+        played.store.in_force(number);
+    }
+
+    async fn serve(played: Arc<Mutex<Played>>, listener: TcpListener) {
+        let clock = Clock::start();
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (reader, mut writer) = stream.split();
+            let mut frames = Frames::new(reader);
+            while let Ok(Some((Message::Ask(ask), _))) = frames.next().await {
+                let grant = {
+                    let Played { store, grantor, leases } = &mut *played.lock().expect("no panic");
+                    grantor.asked(clock.now(), store, if *leases { 700.0 } else { 0.0 }, &ask)
+                };
+                if write(&mut writer, &Message::Grant(grant), &mut Vec::new()).await.is_err() {
+                    break;
+                }
+            }
+        }
+    }
+}
+
+#[tokio::test]
+async fn what_is_heard_without_a_lease_takes_work_from_servers_and_gives_none() {
+    let (log, _guard) = Log::start();
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let at = listener.local_addr().expect("an address");
+    let operator = Operator::read("op.toml", &operator(at, None)).expect("it is sound");
+    let played = Played { store: Store::new(), grantor: Grantor::new(operator.terms, 0.0), leases: true };
+    let played = Arc::new(Mutex::new(played));
+    let (mut one, mut two) = (Server::start(SERVED).await, Server::start(SERVED).await);
+    let (mut three, mut four) = (Server::start(SERVED).await, Server::start(SERVED).await);
+    let first = host(1, one.at, "serving", "a") + &host(2, two.at, "serving", "a");
+    Played::agree(&played, &operator, &(first + &host(4, four.at, "draining", "a")));
+    let serving = tokio::spawn(Played::serve(played.clone(), listener));
+    let config = config_of(vec![], nobody().await);
+    let gateway = Gateway::start_agreed(&config, Control::new(&operator)).await;
+    until_seen(&gateway, &mut one).await;
+    until_seen(&gateway, &mut two).await;
+
+    played.lock().expect("no panic").leases = false;
+    log.until("the lease has run out").await;
+    let second = host(2, two.at, "draining", "a") + &host(3, three.at, "serving", "a");
+    Played::agree(&played, &operator, &(second + &host(4, four.at, "serving", "a")));
+    let_go(&mut two).await;
+    two.so_far();
+    ask_often(&gateway, "apart").await;
+    assert_eq!(two.so_far(), (vec![], 0), "what drains in a version that is heard of drains");
+    assert_eq!(three.so_far(), (vec![], 0), "nothing arrives");
+    assert_eq!(four.so_far(), (vec![], 0), "what drained still does");
+
+    played.lock().expect("no panic").leases = true;
+    until_seen(&gateway, &mut three).await;
+    until_seen(&gateway, &mut four).await;
+    serving.abort();
+}
+
 /// Runs the program until it ends; its exit code and what it says.
 async fn program(args: &[&str], env: &[(&str, &str)]) -> (Option<i32>, String) {
     let mut command = Command::new(env!("CARGO_BIN_EXE_ternstack-gateway"));
