Work out what each role needs at a size from measured slopes, and measure them

Change: `ternstack-lab capacity [FILE] [--check|--write|--json]` reads sizes, budgets, assumptions, slopes and rows, and prints the tables or keeps them on a page between markers. `capacity measure` measures the decision by hosts, tenants in the settings, the list, the data path, the start, whole-state versions and wire frames, at real gateways where there is one, by CPU time.

--- /dev/null
+++ b/lab/src/capacity/decision.rs
@@ -0,0 +1,92 @@
+//! One module before the hosts of one list, for what a decision costs.
+use crate::policy::alone;
+use ternstack::{
+    Action, Arrival, AttemptEnd, Balancer, Class, Effect, Event, Group, ListKind, Member, Outcome, Report,
+    RequestId, ServerId, Settings, Tenant,
+};
+
+/// A module that has heard from each of its hosts, and a clock, as in the bench of decisions.
+pub struct Warm {
+    balancer: Balancer,
+    now: f64,
+    /// Requests so far.
+    pub next: u64,
+    gap_ms: f64,
+    actions: Vec<Action>,
+    timers: Vec<(f64, u64)>,
+    /// Those that were sent.
+    pub sent: u64,
+}
+
+impl Warm {
+    /// One of so many gateways before so many hosts, with so long between two requests. It has had two for each host.
+    pub fn new(hosts: u32, instances: u32, gap_ms: f64) -> Result<Self, String> {
+        let class = Class {
+            name: "read".into(),
+            aim_ms: 1200.0,
+            deadline_ms: 5000.0,
+            late_value: 0.2,
+            effect: Effect::Safe,
+            group: Group::All,
+            window_ms: 0.0,
+        };
+        let tenant = Tenant { name: "one".into(), quota_per_s: 0.0 };
+        let settings = Settings { max_attempts: 3, instances, ..alone(vec![class], vec![tenant]) };
+        let balancer = Balancer::new(settings, 7).map_err(|e| e.to_string())?;
+        let mut warm =
+            Warm { balancer, now: 1000.0, next: 0, gap_ms, actions: Vec::new(), timers: Vec::new(), sent: 0 };
+        let member =
+            |n| Member { server: ServerId(n), weight: 1.0, place: u64::from(n), ..Member::default() };
+        let members = (0..hosts).map(member).collect();
+        warm.hand(Event::List { kind: ListKind::WarmCopy, members });
+        (0..2 * hosts).for_each(|_| warm.message());
+        Ok(warm)
+    }
+
+    fn hand(&mut self, event: Event) {
+        self.actions.clear();
+        self.balancer.handle(self.now, event, &mut self.actions);
+        let timers = self.actions.iter().filter_map(|a| match a {
+            Action::Timer { at, token } => Some((*at, *token)),
+            _ => None,
+        });
+        self.timers.extend(timers);
+    }
+
+    /// A request's arrival and its end, and the timers that came due before it.
+    pub fn message(&mut self) {
+        let until = self.now + self.gap_ms;
+        let is_due = |(at, _): &&(f64, u64)| *at <= until;
+        let earlier = |a: &&(f64, u64), b: &&(f64, u64)| a.0.total_cmp(&b.0);
+        while let Some(due) = self.timers.iter().filter(is_due).min_by(earlier).copied() {
+            self.timers.retain(|t| *t != due);
+            self.now = self.now.max(due.0);
+            self.hand(Event::Timer { token: due.1 });
+        }
+        self.now = until;
+        self.next += 1;
+        let request = RequestId(self.next);
+        self.hand(Event::Request(Arrival { request, class: 0, tenant: Some(0), patience_ms: 2500.0 }));
+        let sent = self.actions.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        let Some(server) = sent else { return };
+        self.sent += 1;
+        // Figures that change from report to report, as real ones do.
+        let report = Report {
+            utilization: Some(0.4 + 0.001 * (self.next % 97) as f64),
+            throughput: Some(18.0 + 0.01 * (self.next % 89) as f64),
+            backlog: None,
+        };
+        self.hand(Event::AttemptEnd(AttemptEnd {
+            request,
+            attempt: 0,
+            server,
+            outcome: Outcome::Served,
+            latency_ms: 150.0,
+            complete: true,
+            report,
+        }));
+    }
+}
--- /dev/null
+++ b/lab/src/capacity/tables.rs
@@ -0,0 +1,256 @@
+//! The page's tables, in Markdown, by the names of the blocks in which they stand.
+use super::limits::{play, ways, Sizes};
+use super::{Capacity, Figure, Moment, Slope, Worked, MISSING};
+use std::fmt::Write as _;
+
+/// A number with three digits that count, or whole where it is large.
+pub fn short(value: f64) -> String {
+    let digits = match value.abs() {
+        0.0 => return "0".into(),
+        v if v < 10.0 => 2 - v.log10().floor().max(-9.0) as i32,
+        v if v < 100.0 => 1,
+        _ => 0,
+    };
+    let plain = format!("{value:.*}", digits.max(0) as usize);
+    let plain =
+        if plain.contains('.') { plain.trim_end_matches('0').trim_end_matches('.').into() } else { plain };
+    let (whole, rest) = plain.split_once('.').map_or((plain.as_str(), None), |(w, r)| (w, Some(r)));
+    let mut grouped = String::new();
+    for (n, digit) in whole.chars().enumerate() {
+        if n > 0 && (whole.len() - n).is_multiple_of(3) && digit.is_ascii_digit() && !grouped.ends_with('-') {
+            grouped.push(',');
+        }
+        grouped.push(digit);
+    }
+    rest.map_or(grouped.clone(), |rest| format!("{grouped}.{rest}"))
+}
+
+fn words(name: &str) -> String {
+    name.replace('_', " ")
+}
+
+/// All blocks: name and text. Errs where the play of limits cannot be drawn.
+pub fn all(c: &Capacity) -> Result<Vec<(&'static str, String)>, String> {
+    let rows = c.work().map_err(|(_, problem)| problem)?;
+    let sizes = Sizes::of(c)?;
+    Ok(vec![
+        ("sizes", figures(&c.size)),
+        ("budgets", figures(&c.budget)),
+        ("assumed", assumed(c)),
+        ("needs", needs(&rows)),
+        ("sums", sums(&rows)),
+        ("missing", missing(&rows)),
+        ("limits", limits(c, &sizes)),
+        ("error", error(c, &sizes)?),
+        ("slopes", slopes(&c.slope)),
+    ])
+}
+
+fn figures(list: &[Figure]) -> String {
+    let mut out = String::from("| what | value | unit | from |\n| --- | ---: | --- | --- |\n");
+    for f in list {
+        let _ =
+            writeln!(out, "| {} | {} | {} | {} |", words(f.name.get_ref()), short(f.value), f.unit, f.from);
+    }
+    out
+}
+
+fn assumed(c: &Capacity) -> String {
+    let mut out = figures(&c.assumed);
+    let figures = c.figures().unwrap_or_default();
+    for d in &c.derived {
+        let name = d.name.get_ref();
+        let value = figures.get(name.as_str()).copied().unwrap_or_default();
+        let times = d.times.iter().map(|n| words(n.get_ref()));
+        let mut product: Vec<String> = (d.factor != 1.0).then(|| short(d.factor)).into_iter().collect();
+        product.extend(times);
+        let over: Vec<String> = d.over.iter().map(|n| words(n.get_ref())).collect();
+        let mut formula = if product.is_empty() { "1".into() } else { product.join(" x ") };
+        if !over.is_empty() {
+            let _ = write!(formula, " / {}", over.join(" / "));
+        }
+        let from = if d.from.is_empty() { formula } else { format!("{formula}: {}", d.from) };
+        let _ = writeln!(out, "| {} | {} | {} | {from} |", words(name), short(value), d.unit);
+    }
+    out
+}
+
+fn moment(m: Moment) -> &'static str {
+    match m {
+        Moment::Ordinary => "ordinary",
+        Moment::Worst => "worst",
+        Moment::Start => "start",
+    }
+}
+
+fn percent(share: f64) -> String {
+    match 100.0 * share {
+        p if p >= 10.0 => format!("{p:.0}%"),
+        p if p >= 0.1 => format!("{p:.1}%"),
+        _ => "<0.1%".into(),
+    }
+}
+
+fn needs(rows: &[Worked]) -> String {
+    let mut out = String::new();
+    let mut roles: Vec<&str> = Vec::new();
+    for row in rows {
+        if !roles.contains(&row.role.as_str()) {
+            roles.push(&row.role);
+        }
+    }
+    for role in roles {
+        let _ = write!(
+            out,
+            "### {role}\n\n| second | need | slope | x | product | budget | share | verdict | carried by |\n\
+             | --- | --- | ---: | --- | ---: | ---: | ---: | --- | --- |\n"
+        );
+        for row in rows.iter().filter(|r| r.role == role) {
+            let slope = match (row.slope, row.slope_unit.as_str()) {
+                (Some(value), unit) => format!("{} {unit}", short(value)),
+                (None, "") => String::new(),
+                (None, unit) => format!("? {unit}"),
+            };
+            let product = row.product.map_or("?".into(), |p| format!("{} {}", short(p), row.unit));
+            let budget = row.budget.map_or(String::new(), short);
+            let share = row.share.map_or(String::new(), percent);
+            let carried =
+                if row.mechanism == MISSING { "**missing**".into() } else { format!("`{}`", row.mechanism) };
+            let need =
+                if row.note.is_empty() { row.need.clone() } else { format!("{} ({})", row.need, row.note) };
+            let _ = writeln!(
+                out,
+                "| {} | {need} | {slope} | {} | {product} | {budget} | {share} | {} | {carried} |",
+                moment(row.moment),
+                row.sizes,
+                row.verdict()
+            );
+        }
+        out.push('\n');
+    }
+    out.truncate(out.trim_end().len());
+    out.push('\n');
+    out
+}
+
+fn sums(rows: &[Worked]) -> String {
+    let mut out = String::from("| role | second | budget | sum | share | left out, not measured yet |\n");
+    out.push_str("| --- | --- | --- | ---: | ---: | --- |\n");
+    let mut seen: Vec<(&str, Moment, &str)> = Vec::new();
+    for row in rows.iter().filter(|r| r.adds) {
+        let Some(budget) = &row.budget_name else { continue };
+        let key = (row.role.as_str(), row.moment, budget.as_str());
+        if seen.contains(&key) {
+            continue;
+        }
+        seen.push(key);
+        let of: Vec<&Worked> = rows
+            .iter()
+            .filter(|r| r.adds && (r.role.as_str(), r.moment) == (key.0, key.1))
+            .filter(|r| r.budget_name.as_deref() == Some(key.2))
+            .collect();
+        let sum: f64 = of.iter().filter_map(|r| r.product).sum();
+        let open: Vec<&str> = of.iter().filter(|r| r.product.is_none()).map(|r| r.need.as_str()).collect();
+        let share = row.budget.map_or(String::new(), |b| percent(sum / b));
+        let _ = writeln!(
+            out,
+            "| {} | {} | {} | {} {} | {share} | {} |",
+            row.role,
+            moment(row.moment),
+            words(budget),
+            short(sum),
+            row.unit,
+            open.join(", ")
+        );
+    }
+    out
+}
+
+fn missing(rows: &[Worked]) -> String {
+    let mut lacking: Vec<&Worked> = rows.iter().filter(|r| r.lacks()).collect();
+    // What is over by most first; what is not measured last, in the file's order.
+    let rank = |r: &Worked| r.share.unwrap_or(0.0);
+    lacking.sort_by(|a, b| rank(b).total_cmp(&rank(a)));
+    let mut out = String::from("| role | second | need | share of the budget | carried by |\n");
+    out.push_str("| --- | --- | --- | ---: | --- |\n");
+    for r in lacking {
+        let share = r.share.map_or_else(|| r.verdict(), percent);
+        let by = if r.mechanism == MISSING { "**missing**".into() } else { format!("`{}`", r.mechanism) };
+        let _ = writeln!(out, "| {} | {} | {} | {share} | {by} |", r.role, moment(r.moment), r.need);
+    }
+    out
+}
+
+fn limits(c: &Capacity, sizes: &Sizes) -> String {
+    let mut out =
+        String::from("| way | bytes a second at a gateway | formula | acted on within | error | verdict |\n");
+    out.push_str("| --- | ---: | --- | ---: | --- | --- |\n");
+    for w in ways(&c.limits, sizes) {
+        let _ = writeln!(
+            out,
+            "| {} | {} | {} | {} s | {} | {} |",
+            w.name,
+            short(w.bytes_per_s),
+            w.formula,
+            short(w.late_s),
+            w.error,
+            w.verdict
+        );
+    }
+    out
+}
+
+fn error(c: &Capacity, sizes: &Sizes) -> Result<String, String> {
+    let t = &c.limits;
+    let mut out = String::from(
+        "| quota by the mean tenant's | asks for, by its quota | counted | bound, steadily | got, mean | windows misjudged \
+         by more | first window, formula | first window, got | refused |\n\
+         | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: | ---: |\n",
+    );
+    for size in [0.25, 1.0, 10.0, 1000.0] {
+        let quota = size * t.quota_by_mean * sizes.mean();
+        for asks in [0.7, 1.0, 2.0, 10.0] {
+            let rate = asks * quota;
+            let steady = play(t, quota, rate, 400, false, t.seed)?;
+            let first: Result<Vec<f64>, String> =
+                (0..50).map(|n| play(t, quota, rate, 1, true, t.seed + n).map(|p| p.mean)).collect();
+            let first = first?;
+            let bound = t.most_steadily(quota).map_or("none".into(), |b| format!("{b:.2}"));
+            let formula = if asks > 1.0 { format!("{:.2}", t.first_window(quota, rate)) } else { "".into() };
+            let _ = writeln!(
+                out,
+                "| {} | {} | {} | {bound} | {:.2} | {:.2}% | {formula} | {:.2} | {:.1}% |",
+                short(size),
+                short(asks),
+                percent(t.sampled(quota)),
+                steady.mean,
+                100.0 * steady.beyond,
+                first.iter().sum::<f64>() / first.len() as f64,
+                100.0 * steady.refused
+            );
+        }
+    }
+    Ok(out)
+}
+
+fn slopes(list: &[Slope]) -> String {
+    let mut out =
+        String::from("| slope | what | unit | measured, size: value | grows as | command, commit |\n");
+    out.push_str("| --- | --- | --- | --- | --- | --- |\n");
+    for s in list {
+        let points: Vec<String> =
+            s.points.iter().map(|[n, v]| format!("{}: {}", short(*n), short(*v))).collect();
+        let measured = match s.value {
+            Some(value) => short(value),
+            None if points.is_empty() => "not measured yet".into(),
+            None => points.join("; "),
+        };
+        let growth = s.growth().map_or(String::new(), |g| format!("{}, n^{:.2}", g.word, g.power));
+        let unit = if s.per.is_empty() { s.unit.clone() } else { format!("{} by {}", s.unit, s.per) };
+        let what = if s.note.is_empty() { s.what.clone() } else { format!("{} ({})", s.what, s.note) };
+        let by = if s.command.is_empty() { String::new() } else { format!("`{}`, {}", s.command, s.commit) };
+        let _ =
+            writeln!(out, "| {} | {what} | {unit} | {measured} | {growth} | {by} |", words(s.name.get_ref()));
+    }
+    out
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -86,6 +86,8 @@
         #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(10..=600))]
         seconds: u64,
     },
+    /// Work out what each role needs at a size, from a file of sizes, budgets and measured slopes; or measure slopes.
+    Capacity(ternstack_lab::capacity::cli::Capacities),
     /// Be a gateway: the demo starts itself so.
     #[command(hide = true)]
     Gateway,
@@ -161,6 +163,7 @@
             }
         }
         Command::Demo { plain: _, seconds } => return demo(seconds),
+        Command::Capacity(told) => return ternstack_lab::capacity::cli::run(told),
         Command::Gateway => {}
         Command::Trace { file, what, seed, variant } => trace(&file, what, seed, variant.as_deref())?,
     }
