Tell on a page what each role needs at the operators' size, from measured slopes

Latency is measured by how often a gateway comes back to a host, and by medians; a module's memory by its hosts.

--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -173,6 +173,8 @@
 pub struct Growth {
     /// The power of the size between the first point and the last.
     pub power: f64,
+    /// The same between the last two, where what does not grow weighs least.
+    pub end: f64,
     /// In words.
     pub word: &'static str,
 }
@@ -250,16 +252,18 @@
     /// How it grows, where it has two points.
     pub fn growth(&self) -> Option<Growth> {
         let (first, last) = (self.points.first()?, self.points.last()?);
-        let power = power(*first, *last)?;
+        let before = self.points.len().checked_sub(2).map(|n| self.points[n])?;
+        let (power, end) = (power(*first, *last)?, power(before, *last)?);
         let n_log_n = power_of_n_log_n(first[0], last[0]);
         let word = match power {
+            p if p < -0.1 => "falls",
             p if p < 0.1 => "flat",
             p if p < 0.9 => "less than n",
             p if p <= 1.05 => "n",
             p if p <= n_log_n + 0.05 => "n log n",
             _ => "faster",
         };
-        Some(Growth { power, word })
+        Some(Growth { power, end, word })
     }
 
     /// Its value at a size: between two points by a power of the size, beyond the last one by the greater of the last
--- a/lab/src/capacity/gateway.rs
+++ b/lab/src/capacity/gateway.rs
@@ -85,10 +85,7 @@
 
     /// Its resident memory, in bytes.
     pub fn resident(&self) -> Result<f64, String> {
-        let status = std::fs::read_to_string(self.proc("status")).map_err(|e| format!("gateway: {e}"))?;
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
-        let kib = line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok());
-        kib.map(|k| k * 1024.0).ok_or_else(|| "gateway: no VmRSS".into())
+        resident(&self.proc("status"))
     }
 
     /// How many sockets it holds.
@@ -115,6 +112,14 @@
     Some(text.split_whitespace().next()?.parse::<f64>().ok()? / 1000.0)
 }
 
+/// The resident memory that a process' `status` tells, in bytes.
+pub fn resident(status: &std::path::Path) -> Result<f64, String> {
+    let text = std::fs::read_to_string(status).map_err(|e| format!("{}: {e}", status.display()))?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok());
+    kib.map(|k| k * 1024.0).ok_or_else(|| format!("{}: expected VmRSS", status.display()))
+}
+
 /// The processor time that this thread has had, in us, to some ms.
 pub fn thread_us() -> Result<f64, String> {
     let us = schedule_us(std::path::Path::new("/proc/thread-self/schedstat"));
--- a/lab/src/capacity/limits.rs
+++ b/lab/src/capacity/limits.rs
@@ -310,8 +310,8 @@
             worst = worst.max(got / (quota * t.window_s));
         }
         looks += 1.0;
-        // The bound is on the rate as it is thought to be; below the quota nothing follows from it.
-        beyond += f64::from(u8::from(thought < rate * (1.0 - t.error(quota)) && thought < rate.max(quota)));
+        // The bound is on the rate as it is thought to be, of a tenant at its quota or over it.
+        beyond += f64::from(u8::from(rate >= quota && thought < rate * (1.0 - t.error(quota))));
     }
     let time = looks * STEP_S;
     Ok(Played {
--- a/lab/src/capacity/measure.rs
+++ b/lab/src/capacity/measure.rs
@@ -3,13 +3,14 @@
 //! Costs are processor time, as the kernel counts it for a thread or for a gateway's process, and the least of several runs:
 //! others may be at work on the machine.
 use super::decision::Warm;
-use super::gateway::{config, host, hosts, tenant, thread_us, Discovery, Gateway};
+use super::gateway::{config, host, hosts, resident, tenant, thread_us, Discovery, Gateway};
 use super::load::{play, Load};
 use super::{Growth, Slope};
 use clap::ValueEnum;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 use ternstack_peers::list::{look, Seen};
 use ternstack_peers::scope::{self, Change, Digest, Entry, Key, Scope};
@@ -80,7 +81,9 @@
         println!("points = {points:?}");
         self.end();
         let growth = growth(&points);
-        let told = growth.map_or("no growth".into(), |g| format!("{}, n^{:.2}", g.word, g.power));
+        let told = growth.map_or("no growth".into(), |g| {
+            format!("{}: n^{:.2}, at the end n^{:.2}", g.word, g.power, g.end)
+        });
         println!("# grows: {told}\n");
     }
 }
@@ -141,6 +144,19 @@
         }
         note.slope(name, "us a request", "hosts of a list", &points);
     }
+    // Modules side by side, as a gateway before many services would hold them.
+    let (mut kept, mut points) = (Vec::new(), Vec::new());
+    for hosts in [54, 200, 1000, 5000] {
+        let gap_ms = 1000.0 * 8900.0 / (A_HOST_PER_S * f64::from(hosts));
+        let count = 54_000 / hosts;
+        let before = resident(Path::new("/proc/self/status"))?;
+        for _ in 0..count {
+            kept.push(Warm::new(hosts, 8900, gap_ms)?);
+        }
+        let more = resident(Path::new("/proc/self/status"))? - before;
+        points.push([f64::from(hosts), more / f64::from(count) / 1e6]);
+    }
+    note.slope("module_memory", "MB resident a module", "hosts of a list", &points);
     Ok(())
 }
 
@@ -257,16 +273,19 @@
     Ok(OfList { cpu_us, resident, change_us })
 }
 
-/// One load, the least of several runs of each figure; an error where a request failed.
+/// One load: processor time and connections, the least of several runs; what was added at p50 and p99, the median of them: a
+/// difference of two quantiles may be too small as well as too great.
 fn loaded(load: &Load, runs: u32) -> Result<[f64; 4], String> {
-    let mut least = [f64::INFINITY; 4];
+    let mut all: [Vec<f64>; 4] = Default::default();
     for _ in 0..runs {
         let taken = play(load)?;
         eprintln!("{load:?}: {taken:?}");
         let figures = [taken.cpu_us, taken.added_ms[0], taken.added_ms[1], taken.connections];
-        least.iter_mut().zip(figures).for_each(|(l, f)| *l = l.min(f.max(0.01)));
+        all.iter_mut().zip(figures).for_each(|(all, figure)| all.push(figure));
     }
-    Ok(least)
+    all.iter_mut().for_each(|figures| figures.sort_by(f64::total_cmp));
+    let median = |of: &[f64]| of[of.len() / 2];
+    Ok([all[0][0], median(&all[1]), median(&all[2]), all[3][0]])
 }
 
 /// Requests a second at each gateway: 3.2 million for 8,900.
@@ -390,7 +409,15 @@
     };
     let member = ternstack_peers::wire::Member { name: "gateway-4711".into(), incarnation: 1_790_000_000 };
     let interest = Interest::Same { revision: 1_000 };
-    let ask = Ask { member, number: 1 << 20, known: NUMBER, in_force: NUMBER, interest, fetch: Vec::new() };
+    let ask = Ask {
+        member,
+        number: 1 << 20,
+        known: NUMBER,
+        in_force: NUMBER,
+        taken: 1 << 20,
+        interest,
+        fetch: Vec::new(),
+    };
     let grant = Grant {
         number: 1 << 20,
         interest: 1_000,
--- a/lab/src/capacity/tables.rs
+++ b/lab/src/capacity/tables.rs
@@ -85,7 +85,7 @@
 
 fn percent(share: f64) -> String {
     match 100.0 * share {
-        p if p >= 10.0 => format!("{p:.0}%"),
+        p if p >= 10.0 => format!("{}%", short(p.round())),
         p if p >= 0.1 => format!("{p:.1}%"),
         _ => "<0.1%".into(),
     }
@@ -217,14 +217,14 @@
             let first = first?;
             let bound = t.most_steadily(quota).map_or("none".into(), |b| format!("{b:.2}"));
             let formula = if asks > 1.0 { format!("{:.2}", t.first_window(quota, rate)) } else { "".into() };
+            let beyond = if asks < 1.0 { String::new() } else { format!("{:.2}%", 100.0 * steady.beyond) };
             let _ = writeln!(
                 out,
-                "| {} | {} | {} | {bound} | {:.2} | {:.2}% | {formula} | {:.2} | {:.1}% |",
+                "| {} | {} | {} | {bound} | {:.2} | {beyond} | {formula} | {:.2} | {:.1}% |",
                 short(size),
                 short(asks),
                 percent(t.sampled(quota)),
                 steady.mean,
-                100.0 * steady.beyond,
                 first.iter().sum::<f64>() / first.len() as f64,
                 100.0 * steady.refused
             );
@@ -245,7 +245,9 @@
             None if points.is_empty() => "not measured yet".into(),
             None => points.join("; "),
         };
-        let growth = s.growth().map_or(String::new(), |g| format!("{}, n^{:.2}", g.word, g.power));
+        let growth = s
+            .growth()
+            .map_or(String::new(), |g| format!("{}: n^{:.2}, at the end n^{:.2}", g.word, g.power, g.end));
         let unit = if s.per.is_empty() { s.unit.clone() } else { format!("{} by {}", s.unit, s.per) };
         let what = if s.note.is_empty() { s.what.clone() } else { format!("{} ({})", s.what, s.note) };
         let by = if s.command.is_empty() { String::new() } else { format!("`{}`, {}", s.command, s.commit) };
