--- a/lab/src/capacity.rs
+++ b/lab/src/capacity.rs
@@ -9,6 +9,7 @@
 use toml::Spanned;
 
 pub mod cli;
+pub mod control;
 pub mod decision;
 pub mod gateway;
 pub mod limits;
--- a/lab/src/capacity/measure.rs
+++ b/lab/src/capacity/measure.rs
@@ -2,6 +2,7 @@
 //!
 //! Costs are processor time, as the kernel counts it for a thread or for a gateway's process, and the least of several runs:
 //! others may be at work on the machine.
+use super::control::{self, key, snapshot};
 use super::decision::Warm;
 use super::gateway::{config, host, hosts, resident, tenant, thread_us, Discovery, Gateway};
 use super::load::{play, Load};
@@ -13,7 +14,7 @@
 use std::path::Path;
 use std::time::Duration;
 use ternstack_peers::list::{look, Seen};
-use ternstack_peers::scope::{self, Change, Digest, Entry, Key, Scope};
+use ternstack_peers::scope::{self, Change, Digest, Entry, Scope};
 use ternstack_peers::version::{contradictions, Host, Rules, Version};
 use ternstack_peers::wire::{encode, Ask, Grant, Interest, Message, Part};
 
@@ -34,6 +35,8 @@
     WholeState,
     /// Frames between followers and grantors.
     Wire,
+    /// Asks, grants and snapshots, without sockets.
+    Control,
 }
 
 /// Measures these, or all, and prints each slope once it is measured.
@@ -49,6 +52,7 @@
             What::Start => start(&note, runs)?,
             What::WholeState => whole_state(&note, runs)?,
             What::Wire => wire(&note)?,
+            What::Control => asks(&note, runs)?,
         }
     }
     Ok(())
@@ -430,19 +434,10 @@
     };
     let quiet = bytes(Message::Ask(ask))? + bytes(Message::Grant(grant.clone()))?;
     note.value("wire_quiet", "bytes of an ask and a grant with nothing in it", quiet);
-    let host = |n: u32| {
-        Entry::Host(scope::Host {
-            address: std::net::SocketAddrV4::new(std::net::Ipv4Addr::from(0x0a00_0000 + n), 8080),
-            zone: 7,
-            drains: false,
-            weight_milli: 1000,
-            started_s: 1_790_000_000 + n,
-        })
-    };
-    let key = |n: u32| Key::of(&format!("server-{n:06}"));
     let (mut changes, mut hosts, mut quotas) = (Vec::new(), Vec::new(), Vec::new());
     for count in [1, 10, 100, 1000_u32] {
-        let change = |n: u32| Change { scope: Scope::Hosts(n % 3700), key: key(n), entry: Some(host(n)) };
+        let change =
+            |n: u32| Change { scope: Scope::Hosts(n % 3700), key: key(n), entry: Some(control::host(n)) };
         // Each in a version of its own, as on an ordinary second.
         let version = |n: u32| scope::Version { number: NUMBER + u64::from(n), changes: vec![change(n)] };
         let pending = (0..count).map(version).collect();
@@ -455,7 +450,7 @@
             to.push([f64::from(count), of]);
             Ok(())
         };
-        piece(Scope::Hosts(3000), &host, &mut hosts)?;
+        piece(Scope::Hosts(3000), &control::host, &mut hosts)?;
         piece(Scope::Tenants(3000), &|n| Entry::Quota(100 + n), &mut quotas)?;
     }
     let spread = (changes[3][1] - changes[0][1]) / (changes[3][0] - changes[0][0]);
@@ -465,3 +460,38 @@
     note.slope("wire_quotas", "bytes of a grant", "tenants fetched with it", &quotas);
     Ok(())
 }
+
+fn asks(note: &Note, runs: u32) -> Result<(), String> {
+    // First, while no memory that others gave back stands about.
+    let (mut kept, mut told, mut grantors) = (Vec::new(), Vec::new(), Vec::new());
+    for scopes in [100, 1_000, 4_000, 11_496] {
+        let ([memory, bytes], grantor) = control::members(scopes, 600)?;
+        grantors.push(grantor);
+        kept.push([f64::from(scopes), memory / 1000.0]);
+        told.push([f64::from(scopes), bytes]);
+    }
+    note.slope("member_memory", "KB resident a member", "scopes that it follows", &kept);
+    note.slope("wire_interest", "bytes of an ask", "scopes told in it", &told);
+    let (mut granted, mut followed) = (Vec::new(), Vec::new());
+    for followers in [30, 100, 300, 1000] {
+        let of = control::asked(followers, 100 * runs)?;
+        granted.push([f64::from(followers), of.grantor_us]);
+        followed.push([f64::from(followers), of.follower_us]);
+    }
+    note.slope("grantor_cpu", "us an ask, frames included, without sockets", "followers", &granted);
+    note.slope(
+        "follower_cpu",
+        "us an ask, frames included, without sockets",
+        "followers of its grantor",
+        &followed,
+    );
+    let (mut bytes, mut read) = (Vec::new(), Vec::new());
+    for hosts in [2_000, 20_000, 100_000, 200_000] {
+        let [length, us] = snapshot(hosts, runs)?;
+        bytes.push([f64::from(hosts), length / 1e6]);
+        read.push([f64::from(hosts), us / 1000.0]);
+    }
+    note.slope("snapshot_bytes", "MB on disk", "hosts, with 3.35 tenants each", &bytes);
+    note.slope("snapshot_read", "ms of CPU", "hosts, with 3.35 tenants each", &read);
+    Ok(())
+}
