Play fleets of hollow gateways before control machines, and judge them from outside

Need: 8,900 gateways before 200,000 hosts, measured by role and judged, not reckoned. Change: package scale/ and ternstack-lab scale: the world from a seed, an origin, distributors and hollow gateways as processes with the real drives of control/, faults by name, a judge with planted offenders, tables, JSON and HTML; a small twin in its tests.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -86,9 +86,15 @@
         #[arg(long, default_value_t = 20, value_parser = clap::value_parser!(u64).range(10..=600))]
         seconds: u64,
     },
+    /// Play a fleet of hollow gateways before control machines, measure it by role, and judge it from outside. Exits with
+    /// 1 if a promise was broken.
+    Scale(Box<ternstack_scale::options::Options>),
     /// Be a gateway: the demo starts itself so.
     #[command(hide = true)]
     Gateway,
+    /// Be a process of a fleet: the scale run starts itself so.
+    #[command(hide = true)]
+    Part,
     /// Print what happened to one message or host of a run, and what was decided about it.
     Trace {
         /// The experiment's file.
@@ -114,6 +120,14 @@
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
+/// Plays fleets of hollow gateways.
+fn scale(options: &ternstack_scale::options::Options) -> Result<ExitCode, String> {
+    let program = std::env::current_exe().map_err(|e| e.to_string())?;
+    let launch = Launch { program, args: vec!["part".into()] };
+    let kept = ternstack_scale::command::command(options, &launch)?;
+    Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 fn focus(text: &str) -> Result<Focus, String> {
     let wanted = || "expected message:N or host:N".to_string();
     let (kind, number) = text.split_once(':').ok_or_else(wanted)?;
@@ -130,6 +144,9 @@
     if matches!(cli.command, Command::Gateway) {
         return be_a_gateway();
     }
+    if matches!(cli.command, Command::Part) {
+        return ternstack_scale::hollow::be_a_part();
+    }
     let level = match cli.verbose {
         0 => tracing::Level::WARN,
         1 => tracing::Level::INFO,
@@ -161,7 +178,8 @@
             }
         }
         Command::Demo { plain: _, seconds } => return demo(seconds),
-        Command::Gateway => {}
+        Command::Scale(options) => return scale(&options),
+        Command::Gateway | Command::Part => {}
         Command::Trace { file, what, seed, variant } => trace(&file, what, seed, variant.as_deref())?,
     }
     Ok(ExitCode::SUCCESS)
--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -34,12 +34,17 @@
     }
 }
 
-/// The gateway's whole program, as a child of a rig: it ends with its parent, however that ends.
-pub fn be_a_gateway() -> std::process::ExitCode {
-    // Guards against processes that outlive a rig which was killed.
+/// From now on this process is killed when its parent ends, however that ends. `false` where the parent has ended already.
+pub fn end_with_parent() -> bool {
     let parent = rustix::process::getppid();
     let bound = rustix::process::set_parent_process_death_signal(Some(Signal::KILL));
-    if bound.is_err() || rustix::process::getppid() != parent || parent == Some(Pid::INIT) {
+    bound.is_ok() && rustix::process::getppid() == parent && parent != Some(Pid::INIT)
+}
+
+/// The gateway's whole program, as a child of a rig: it ends with its parent.
+pub fn be_a_gateway() -> std::process::ExitCode {
+    // Guards against processes that outlive a rig which was killed.
+    if !end_with_parent() {
         eprintln!("ternstack-rig: the rig that started this gateway is gone");
         return std::process::ExitCode::FAILURE;
     }
--- /dev/null
+++ b/scale/src/hollow.rs
@@ -0,0 +1,334 @@
+//! What happens inside the processes of a fleet: the origin, a distributor, or many hollow gateways.
+use crate::fleet::hollow;
+use crate::part::{Common, Hollow, MachineAt, Order, Report, Role, Spec, Told};
+use crate::record::{spans, Track};
+use crate::traffic::Traffic;
+use crate::usage::now_us;
+use crate::world::World;
+use std::collections::{BTreeSet, HashMap};
+use std::io::{BufRead, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use ternstack_control::follow::{Beside, Follow, Following, Machine, Told as Heard};
+use ternstack_control::serve;
+use ternstack_peers::distributor::Distributor;
+use ternstack_peers::follower::{Acting, News};
+use ternstack_peers::origin::Origin;
+use ternstack_peers::placing;
+use ternstack_peers::scope::{Digest, Entry, Key, Scope};
+use ternstack_peers::store::{Keeps, Store};
+use ternstack_peers::wire::Member;
+use tokio::sync::mpsc;
+
+/// A distributor, as the choice among them sees it.
+pub fn placed(machine: &MachineAt) -> placing::Machine {
+    placing::Machine {
+        name: machine.name.clone(),
+        zone: machine.zone.clone(),
+        region: machine.region.clone(),
+    }
+}
+
+/// A process of a fleet, as a child of a run: it ends with its parent, and when its standard input does.
+pub fn be_a_part() -> ExitCode {
+    let worked = if ternstack_rig::process::end_with_parent() {
+        work()
+    } else {
+        Err("the run that started this process is gone".into())
+    };
+    match worked {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("ternstack-scale: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn work() -> Result<(), String> {
+    let mut line = String::new();
+    std::io::stdin().lock().read_line(&mut line).map_err(|e| e.to_string())?;
+    let spec: Spec = serde_json::from_str(&line).map_err(|e| format!("no specification: {e}"))?;
+    let (orders, mut taken) = mpsc::channel::<Order>(1);
+    // Reads where it may wait; the runtime does not.
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lock().lines().map_while(Result::ok) {
+            let Ok(order) = serde_json::from_str(&line) else { return };
+            if orders.blocking_send(order).is_err() {
+                return;
+            }
+        }
+    });
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        let mut gateways = begin(&spec).await?;
+        while let Some(order) = taken.recv().await {
+            tell(&gateways.obey(order))?;
+        }
+        Ok(())
+    })
+}
+
+fn tell(told: &Told) -> Result<(), String> {
+    let mut line = serde_json::to_vec(told).map_err(|e| e.to_string())?;
+    line.push(b'\n');
+    let mut out = std::io::stdout().lock();
+    out.write_all(&line).and_then(|()| out.flush()).map_err(|e| e.to_string())
+}
+
+/// Begins what the process is, and says so; the hollow gateways in it, if any.
+async fn begin(spec: &Spec) -> Result<Gateways, String> {
+    let bind = |at: SocketAddr| async move {
+        tokio::net::TcpListener::bind(at).await.map_err(|e| format!("{at}: {e}"))
+    };
+    let common = &spec.common;
+    let local = |l: &tokio::net::TcpListener| l.local_addr().map_err(|e| e.to_string());
+    let mut gateways = Gateways::default();
+    let at = match &spec.role {
+        Role::Origin => {
+            let mut store = Store::new();
+            for (scope, key, entry) in World::draw(common.size)?.entries() {
+                store.load(scope, key, 1, Some(entry));
+            }
+            store.in_force(1);
+            let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+            let at = local(&listener)?;
+            let machine = serve::Machine::<Origin>::origin("origin", common.terms, store);
+            tokio::spawn(machine.run(listener));
+            at
+        }
+        Role::Distributor { name, listen, origin } => {
+            let listener = bind(*listen).await?;
+            let at = local(&listener)?;
+            let member = Member { name: name.clone(), incarnation: now_us() };
+            let machine = serve::Machine::<Distributor>::distributor(member, common.terms);
+            tokio::spawn(machine.run(listener, vec![*origin], common.terms));
+            at
+        }
+        Role::Hollows { lists, gateways: all, follow, snapshot, folder } => {
+            gateways = Gateways::start(common, lists, all, *follow, snapshot.as_deref(), folder)?;
+            SocketAddr::from(([127, 0, 0, 1], 0))
+        }
+    };
+    tell(&Told::Begun(at))?;
+    Ok(gateways)
+}
+
+/// What is kept of a follower's life.
+#[derive(Debug)]
+struct Kept {
+    track: Track,
+    missing: BTreeSet<Scope>, // Of what it wants.
+}
+
+impl Kept {
+    /// Takes in what its drive tells, now.
+    fn hear(&mut self, heard: Heard) {
+        let at_us = now_us();
+        match heard {
+            Heard::Leased => self.track.leased(at_us),
+            Heard::LeaseLost => self.track.lost(at_us),
+            Heard::News(News::InForce(number)) => self.track.in_force(at_us, number),
+            Heard::News(News::Whole(scope)) => drop(self.missing.remove(&scope)),
+            Heard::News(News::Behind(scope) | News::Anew(scope)) => drop(self.missing.insert(scope)),
+            Heard::News(_) => {}
+        }
+        if self.missing.is_empty() && self.track.number() > 0 {
+            self.track.whole(at_us);
+        }
+    }
+}
+
+/// A life: the real program's end towards control, and what is kept of it.
+struct Life {
+    following: Arc<Following>,
+    kept: Arc<Mutex<Kept>>,
+    task: tokio::task::JoinHandle<()>,
+}
+
+fn lock(kept: &Mutex<Kept>) -> MutexGuard<'_, Kept> {
+    kept.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A hollow gateway through its lives.
+struct Seat {
+    hollow: Hollow,
+    machines: Vec<MachineAt>,
+    life: Life,
+    past: Vec<Track>,
+    spent: Traffic, // In past lives.
+}
+
+/// The hollow gateways of a process.
+#[derive(Default)]
+struct Gateways {
+    common: Option<Common>,
+    world: Option<World>,
+    follow: Option<(usize, usize)>,
+    folder: PathBuf,
+    seats: Vec<Seat>,
+    restarted_us: u64,
+}
+
+/// No snapshot is written by itself while a run lasts.
+const NEVER: Duration = Duration::from_secs(86_400);
+
+impl Gateways {
+    fn start(
+        common: &Common, lists: &[Vec<MachineAt>], all: &[Hollow], follow: Option<(usize, usize)>,
+        snapshot: Option<&Path>, folder: &Path,
+    ) -> Result<Gateways, String> {
+        let world = World::draw(common.size)?;
+        let (common, folder) = (Some(common.clone()), folder.to_path_buf());
+        let mut gateways = Gateways { common, world: Some(world), follow, folder, ..Gateways::default() };
+        for hollow in all {
+            let machines = lists.get(hollow.list).ok_or("no list of that number")?.clone();
+            let beside = snapshot.map(|file| (file.to_path_buf(), BTreeSet::new()));
+            if let Some(life) = gateways.live(hollow, &machines, beside) {
+                let (hollow, past, spent) = (hollow.clone(), Vec::new(), Traffic::default());
+                gateways.seats.push(Seat { hollow, machines, life, past, spent });
+            }
+        }
+        Ok(gateways)
+    }
+
+    /// The scopes that a gateway follows, hottest first.
+    fn wanted(&self, gateway: usize) -> Vec<Scope> {
+        match (&self.world, self.follow) {
+            (Some(world), Some((services, shards))) => world.followed(gateway, services, shards),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Begins a life: with nothing, or beside a snapshot that lacks some scopes.
+    fn live(
+        &self, seat: &Hollow, machines: &[MachineAt], beside: Option<(PathBuf, BTreeSet<Scope>)>,
+    ) -> Option<Life> {
+        let wanted = self.wanted(seat.number);
+        let (beside, missing) = match beside {
+            Some((path, missing)) => (Some(Beside { path, every: NEVER, thread: false }), missing),
+            None => (None, wanted.iter().copied().chain([Scope::Zones, Scope::Fleet]).collect()),
+        };
+        let machine = |at: &MachineAt| Machine {
+            name: at.name.clone(),
+            address: at.at,
+            zone: at.zone.clone(),
+            region: at.region.clone(),
+        };
+        let following = Following::new(Follow {
+            member: Member { name: hollow(seat.number), incarnation: now_us() },
+            zone: seat.zone.clone(),
+            region: seat.region.clone(),
+            machines: machines.iter().map(machine).collect(),
+            terms: self.common.as_ref()?.terms,
+            beside,
+            wanted: wanted.into_iter().enumerate().map(|(n, scope)| (scope, -(n as f64))).collect(),
+        });
+        let kept = Arc::new(Mutex::new(Kept { track: Track::begins(now_us()), missing }));
+        let (runs, heard) = (following.clone(), kept.clone());
+        let task = tokio::spawn(async move {
+            runs.run(move |_, told| lock(&heard).hear(told)).await;
+        });
+        Some(Life { following, kept, task })
+    }
+
+    /// Writes what a gateway would have kept; where, and what it lacks.
+    fn keep(&self, seat: &Seat) -> Option<(PathBuf, BTreeSet<Scope>)> {
+        let snapshot = seat.life.following.with(|core, _| core.snapshot());
+        let there: BTreeSet<Scope> = snapshot.tables.scopes().collect();
+        let file = self.folder.join(hollow(seat.hollow.number));
+        std::fs::write(&file, snapshot.encode().ok()?).ok()?;
+        Some((file, self.wanted(seat.hollow.number).into_iter().filter(|s| !there.contains(s)).collect()))
+    }
+
+    fn obey(&mut self, order: Order) -> Told {
+        match order {
+            Order::Report(versions) => Told::Report(Box::new(self.report(&versions))),
+            Order::Restart { every, kept } => {
+                self.restart(every.max(1), kept);
+                Told::Done
+            }
+            Order::Spans => {
+                let lives: Vec<_> = self.seats.iter().map(|s| lock(&s.life.kept)).collect();
+                let past = self.seats.iter().flat_map(|s| &s.past);
+                let all = lives.iter().map(|l| &l.track).chain(past);
+                Told::Spans(spans(all, now_us()).into_iter().collect())
+            }
+            Order::Holdings => Told::Holdings(self.holdings()),
+            Order::Probe(scope, key) => self.probe(scope, key),
+        }
+    }
+
+    fn restart(&mut self, every: usize, kept: bool) {
+        let mut seats = std::mem::take(&mut self.seats);
+        self.restarted_us = now_us();
+        for seat in seats.iter_mut().filter(|s| s.hollow.number % every == 0) {
+            let beside = if kept { self.keep(seat) } else { None };
+            let Some(life) = self.live(&seat.hollow, &seat.machines, beside) else { continue };
+            let last = std::mem::replace(&mut seat.life, life);
+            last.task.abort();
+            let mut kept = lock(&last.kept);
+            kept.track.ends(now_us());
+            seat.past.push(std::mem::take(&mut kept.track));
+            seat.spent = seat.spent.plus(&Traffic::of(&last.following.counts()));
+        }
+        self.seats = seats;
+    }
+
+    fn report(&self, versions: &[(u64, u64)]) -> Report {
+        let mut report = Report { least: u64::MAX, ..Report::default() };
+        for seat in &self.seats {
+            let following = &seat.life.following;
+            let (whole, bytes) = following.with(|core, _| (core.is_complete(), core.keeps().bytes()));
+            let kept = lock(&seat.life.kept);
+            report.followers += 1;
+            report.whole += u64::from(whole);
+            report.leased += u64::from(kept.track.number() > 0);
+            report.least = report.least.min(kept.track.number());
+            report.state_bytes += bytes as u64;
+            if let Some(took_us) = kept.track.took_us().filter(|_| kept.track.began_us() >= self.restarted_us)
+            {
+                report.start.record(took_us);
+            }
+            for track in std::iter::once(&kept.track).chain(&seat.past) {
+                report.went_back += track.went_back();
+                report.reached.take(track, versions);
+            }
+            let traffic = seat.spent.plus(&Traffic::of(&following.counts()));
+            report.most_bytes = report.most_bytes.max(traffic.all_read().bytes as u64);
+            report.traffic = report.traffic.plus(&traffic);
+        }
+        report
+    }
+
+    fn holdings(&self) -> Vec<(Scope, Digest, u64)> {
+        let mut all: HashMap<(Scope, Digest), u64> = HashMap::new();
+        for seat in &self.seats {
+            seat.life.following.with(|core, _| {
+                for (scope, _) in core.whole() {
+                    *all.entry((scope, core.keeps().digest(scope))).or_insert(0) += 1;
+                }
+            });
+        }
+        all.into_iter().map(|((scope, digest), n)| (scope, digest, n)).collect()
+    }
+
+    /// Who has the scope, whole or behind, and would give this host new work now. By its zone it may be lost, too.
+    fn probe(&self, scope: Scope, key: Key) -> Told {
+        let (mut asked, mut still) = (0, 0);
+        for seat in &self.seats {
+            let following = &seat.life.following;
+            if following.acting(scope) == Acting::Unknown {
+                continue;
+            }
+            asked += 1;
+            let entry = following.entry(scope, key);
+            still += u64::from(matches!(entry, Some(Entry::Host(host)) if !host.drains));
+        }
+        Told::Probe { asked, still }
+    }
+}
