--- a/rig/src/process.rs
+++ b/rig/src/process.rs
@@ -140,7 +140,7 @@
         .env("LB_CONFIG", file)
         .env("LB_NAME", name)
         .env("LB_LISTEN", listen.to_string());
-    command.env_remove("LB_DISCOVERY").env_remove("LB_LOG");
+    command.env_remove("LB_DISCOVERY").env_remove("LB_LOG").env_remove("LB_OPERATOR");
     command.stdin(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
     let mut child = command.spawn().map_err(|e| format!("{}: {e}", launch.program.display()))?;
     let lines = child.stderr.take().ok_or_else(|| format!("{name}: no log"))?;
