--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 use ternstack_lab::report;
 use ternstack_lab::statistics::{compare, Verdict};
 use ternstack_rig::process::{be_a_gateway, Launch};
+use ternstack_scale::run::Launches;
 
 /// Where the shipped experiments are, from the repository's root.
 const SHIPPED: &str = "lab/experiments";
@@ -91,7 +92,11 @@
     Scale(Box<ternstack_scale::options::Options>),
     /// Be a gateway: the demo starts itself so.
     #[command(hide = true)]
-    Gateway,
+    Gateway {
+        /// What the gateway reads itself.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        rest: Vec<std::ffi::OsString>,
+    },
     /// Be a process of a fleet: the scale run starts itself so.
     #[command(hide = true)]
     Part,
@@ -123,8 +128,9 @@
 /// Plays fleets of hollow gateways.
 fn scale(options: &ternstack_scale::options::Options) -> Result<ExitCode, String> {
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
-    let launch = Launch { program, args: vec!["part".into()] };
-    let kept = ternstack_scale::command::command(options, &launch)?;
+    let part = Launch { program, args: vec!["part".into()] };
+    let gateway = Some(Launch::myself().map_err(|e| e.to_string())?);
+    let kept = ternstack_scale::command::command(options, &Launches { part, gateway })?;
     Ok(if kept { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
@@ -141,7 +147,7 @@
 fn main() -> ExitCode {
     let cli = Cli::parse();
     // It has a log of its own.
-    if matches!(cli.command, Command::Gateway) {
+    if matches!(cli.command, Command::Gateway { .. }) {
         return be_a_gateway();
     }
     if matches!(cli.command, Command::Part) {
@@ -179,7 +185,7 @@
         }
         Command::Demo { plain: _, seconds } => return demo(seconds),
         Command::Scale(options) => return scale(&options),
-        Command::Gateway | Command::Part => {}
+        Command::Gateway { .. } | Command::Part => {}
         Command::Trace { file, what, seed, variant } => trace(&file, what, seed, variant.as_deref())?,
     }
     Ok(ExitCode::SUCCESS)
--- a/scale/src/command.rs
+++ b/scale/src/command.rs
@@ -1,12 +1,11 @@
 //! The subcommand: plays the plans that the options ask for, one after another, and tells what came of it.
 use crate::options::Options;
 use crate::report;
-use crate::run::{play, Outcome};
-use ternstack_rig::process::Launch;
+use crate::run::{play, Launches, Outcome};
 
-/// Plays all; whether the judge is content with every run. `launch` starts this program as a part of a fleet
-/// ([`crate::hollow::be_a_part`]).
-pub fn command(options: &Options, launch: &Launch) -> Result<bool, String> {
+/// Plays all; whether the judge is content with every run. `launches` start this program as a part of a fleet
+/// ([`crate::hollow::be_a_part`]) and as a gateway.
+pub fn command(options: &Options, launches: &Launches) -> Result<bool, String> {
     let plans = options.plans()?;
     if let Some(out) = &options.out {
         std::fs::create_dir_all(out).map_err(|e| format!("--out {}: {e}", out.display()))?;
@@ -18,7 +17,7 @@
     for (n, plan) in plans.iter().enumerate() {
         // The largest one shows what it cost before.
         let with_before = !options.no_before && n + 1 == plans.len();
-        let outcome = runtime.block_on(play(launch, plan, with_before, &say))?;
+        let outcome = runtime.block_on(play(launches, plan, with_before, &say))?;
         if !options.json {
             println!("{}", report::text(&outcome));
         }
--- a/scale/src/hollow.rs
+++ b/scale/src/hollow.rs
@@ -123,12 +123,18 @@
 struct Kept {
     track: Track,
     missing: BTreeSet<Scope>, // Of what it wants.
+    /// The last moment told of by the drive, by its clock and by the machine's.
+    last: (f64, u64),
 }
 
 impl Kept {
-    /// Takes in what its drive tells, now.
-    fn hear(&mut self, heard: Heard) {
-        let at_us = now_us();
+    /// Takes in what its drive tells, now. What it tells of one moment is of one moment here: who gets a lease and a later
+    /// version with one answer never acts on the one before.
+    fn hear(&mut self, moment: f64, heard: Heard) {
+        if self.last.0 != moment {
+            self.last = (moment, now_us());
+        }
+        let at_us = self.last.1;
         match heard {
             Heard::Leased => self.track.leased(at_us),
             Heard::LeaseLost => self.track.lost(at_us),
@@ -228,10 +234,14 @@
             beside,
             wanted: wanted.into_iter().enumerate().map(|(n, scope)| (scope, -(n as f64))).collect(),
         });
-        let kept = Arc::new(Mutex::new(Kept { track: Track::begins(now_us()), missing }));
+        let kept = Arc::new(Mutex::new(Kept {
+            track: Track::begins(now_us()),
+            missing,
+            last: (f64::NEG_INFINITY, 0),
+        }));
         let (runs, heard) = (following.clone(), kept.clone());
         let task = tokio::spawn(async move {
-            runs.run(move |_, told| lock(&heard).hear(told)).await;
+            runs.run(move |moment, told| lock(&heard).hear(moment, told)).await;
         });
         Some(Life { following, kept, task })
     }
@@ -253,9 +263,10 @@
                 Told::Done
             }
             Order::Spans => {
-                let lives: Vec<_> = self.seats.iter().map(|s| lock(&s.life.kept)).collect();
-                let past = self.seats.iter().flat_map(|s| &s.past);
-                let all = lives.iter().map(|l| &l.track).chain(past);
+                let lives: Vec<_> =
+                    self.seats.iter().map(|s| (s.hollow.number, lock(&s.life.kept))).collect();
+                let past = self.seats.iter().flat_map(|s| s.past.iter().map(|t| (s.hollow.number, t)));
+                let all = lives.iter().map(|(n, l)| (*n, &l.track)).chain(past);
                 Told::Spans(spans(all, now_us()).into_iter().collect())
             }
             Order::Holdings => Told::Holdings(self.holdings()),
--- a/scale/src/judge.rs
+++ b/scale/src/judge.rs
@@ -113,8 +113,11 @@
     let (number, longest_us) = longest_contradiction(&evidence.spans);
     if longest_us as f64 / 1e3 > terms.contradiction_ms() {
         let (ms, most) = (longest_us as f64 / 1e3, terms.contradiction_ms());
-        let words =
-            format!("version {number} was acted on for {ms:.0} ms beside a later one, at most {most:.0}");
+        let by = evidence.spans.get(&number).map_or(0, |span| span.last_by);
+        let words = format!(
+            "version {number} was acted on for {ms:.0} ms beside a later one, at last by gateway {by}; at most \
+             {most:.0} ms are promised"
+        );
         tell(Promise::OneVersion, words);
     }
     for drain in evidence.drains.iter().filter(|d| d.still > 0) {
--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod options;
 pub mod part;
 pub mod proposer;
+pub mod real;
 pub mod record;
 pub mod report;
 pub mod run;
--- a/scale/src/options.rs
+++ b/scale/src/options.rs
@@ -76,6 +76,9 @@
     /// One run for each of these numbers of hosts, all else fixed.
     #[arg(long, value_delimiter = ',', value_name = "N,N,...")]
     pub host_steps: Vec<usize>,
+    /// Two real gateways with servers and load as well: one follows control, the other runs without.
+    #[arg(long)]
+    pub real: bool,
     /// Leave out the cost of a change when a version is the whole state.
     #[arg(long)]
     pub no_before: bool,
@@ -114,6 +117,8 @@
     pub everything: usize,
     /// Most hollow gateways in a process.
     pub per_process: usize,
+    /// Whether two real gateways run beside the fleet.
+    pub real: bool,
     /// The leases' terms, with the bytes that a gateway may be sent.
     pub terms: Terms,
 }
@@ -205,6 +210,7 @@
             follow_services: self.follow_services,
             follow_shards: self.follow_shards,
             everything: self.everything,
+            real: self.real,
             per_process: self.per_process,
             terms: Terms {
                 lease_ms: self.lease_ms,
--- a/scale/src/proposer.rs
+++ b/scale/src/proposer.rs
@@ -78,6 +78,16 @@
         Ok(())
     }
 
+    /// Takes in what became of another's proposals, which touched other entries.
+    pub fn take_in(&self, other: &mut Proposer) {
+        let mut theirs = other.log();
+        let mut ours = self.log();
+        ours.left.append(&mut theirs.left);
+        ours.accepted.append(&mut theirs.accepted);
+        ours.accepted.sort_by_key(|(_, at_us)| *at_us);
+        ours.refused.append(&mut theirs.refused);
+    }
+
     /// What became of the proposals.
     pub fn log(&self) -> MutexGuard<'_, Log> {
         self.log.lock().unwrap_or_else(PoisonError::into_inner)
@@ -93,7 +103,7 @@
 impl Log {
     /// The last accepted version; 0 where there is none.
     pub fn last(&self) -> Number {
-        self.accepted.last().map_or(0, |(number, _)| *number)
+        self.accepted.iter().map(|(number, _)| *number).max().unwrap_or(0)
     }
 
     /// The accepted versions that were proposed from `from_us` on, before `to_us`.
--- a/scale/src/record.rs
+++ b/scale/src/record.rs
@@ -32,13 +32,17 @@
     pub first_us: u64,
     /// The last one.
     pub last_us: u64,
+    /// The number of the gateway that acted on it last.
+    pub last_by: usize,
 }
 
 impl Span {
     /// Takes another one in.
     pub fn join(&mut self, other: Span) {
         self.first_us = self.first_us.min(other.first_us);
-        self.last_us = self.last_us.max(other.last_us);
+        if other.last_us > self.last_us {
+            (self.last_us, self.last_by) = (other.last_us, other.last_by);
+        }
     }
 }
 
@@ -124,11 +128,11 @@
     }
 }
 
-/// From when to when anybody of these acted on each version.
-pub fn spans<'a>(tracks: impl Iterator<Item = &'a Track>, now_us: u64) -> BTreeMap<Number, Span> {
+/// From when to when anybody of these acted on each version; each with its gateway's number.
+pub fn spans<'a>(tracks: impl Iterator<Item = (usize, &'a Track)>, now_us: u64) -> BTreeMap<Number, Span> {
     let mut all = BTreeMap::new();
-    for period in tracks.flat_map(|t| t.periods(now_us)) {
-        let span = Span { first_us: period.from_us, last_us: period.to_us };
+    for (gateway, period) in tracks.flat_map(|(n, t)| t.periods(now_us).map(move |p| (n, p))) {
+        let span = Span { first_us: period.from_us, last_us: period.to_us, last_by: gateway };
         all.entry(period.number).and_modify(|s: &mut Span| s.join(span)).or_insert(span);
     }
     all
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -115,6 +115,23 @@
         let heads = ["one change", "bytes to a gateway", "look, ms", "digest, ms", "compare, ms"];
         text.push_str(&table(&heads, &rows));
     }
+    if !outcome.real.is_empty() {
+        let heads = ["real gateways", "control", "asked", "served", "p50, ms", "p99", "longest"];
+        let rows: Vec<Vec<String>> = outcome
+            .real
+            .iter()
+            .map(|seen| {
+                let mut cells = vec![seen.phase.clone(), if seen.follows { "on" } else { "off" }.into()];
+                cells.extend([seen.asked.to_string(), seen.served.to_string()]);
+                cells.extend(seen.ms.iter().map(|ms| format!("{ms:.2}")));
+                cells
+            })
+            .collect();
+        let _ = write!(text, "\n{}", table(&heads, &rows));
+    }
+    if let Some((there, all)) = outcome.real_drain {
+        let _ = writeln!(text, "\nafter its drain's bound a server got {there} of {all} requests");
+    }
     let (longest, promised) = outcome.contradiction_ms;
     let _ = writeln!(
         text,
--- a/scale/src/run.rs
+++ b/scale/src/run.rs
@@ -7,6 +7,7 @@
 use crate::options::Plan;
 use crate::part::{Order, Report};
 use crate::proposer::Proposer;
+use crate::real::{Pair, Seen};
 use crate::usage::now_us;
 use crate::world::{Stream, World};
 use rustix::process::Signal;
@@ -79,10 +80,17 @@
     pub contradiction_ms: (f64, f64),
     /// What a change costs when a version is the whole state.
     pub before: Option<Before>,
+    /// What clients of the real gateways saw, if there were any.
+    pub real: Vec<Seen>,
+    /// Requests to a drained server of the one that follows control, once the bound was over, and to all of its servers.
+    pub real_drain: Option<(u64, u64)>,
     /// What the judge holds against it.
     pub offences: Vec<Offence>,
 }
 
+/// What real gateways' clients saw, and what still came to a drained server.
+type RealSeen = (Vec<Seen>, Option<(u64, u64)>);
+
 /// A run under way.
 struct Run<'a> {
     plan: &'a Plan,
@@ -94,10 +102,20 @@
     drains: Vec<Told>,
 }
 
+/// How processes are started.
+#[derive(Clone, Debug)]
+pub struct Launches {
+    /// A part of a fleet.
+    pub part: Launch,
+    /// A real gateway; `None` where there is none.
+    pub gateway: Option<Launch>,
+}
+
 /// Plays a plan. `say` is told of each step.
 pub async fn play(
-    launch: &Launch, plan: &Plan, with_before: bool, say: &dyn Fn(String),
+    launches: &Launches, plan: &Plan, with_before: bool, say: &dyn Fn(String),
 ) -> Result<Outcome, String> {
+    let launch = &launches.part;
     let world = World::draw(plan.size)?;
     let before = with_before.then(|| before::measure(&world));
     say(format!("{} gateways, {} hosts: starting", plan.size.gateways, plan.size.hosts));
@@ -126,6 +144,10 @@
         rows.push(run.fault(*fault).await?);
         say(rows.last().map_or(String::new(), Row::line));
     }
+    let (real, real_drain) = match (&launches.gateway, plan.real) {
+        (Some(gateway), true) => run.real(gateway, say).await?,
+        _ => Default::default(),
+    };
     let (evidence, drains) = run.evidence().await?;
     let (_, longest_us) = longest_contradiction(&evidence.spans);
     let accepted = run.staff.log().accepted.len();
@@ -138,6 +160,8 @@
         accepted,
         contradiction_ms: (longest_us as f64 / 1e3, plan.terms.contradiction_ms()),
         before,
+        real,
+        real_drain,
         offences: judge(&evidence, &plan.terms),
     })
 }
@@ -371,6 +395,27 @@
         Ok(row)
     }
 
+    /// Real gateways beside the fleet: quiet, and at ten times the changes.
+    async fn real(&mut self, gateway: &Launch, say: &dyn Fn(String)) -> Result<RealSeen, String> {
+        let pair = Pair::start(gateway, &self.fleet, self.plan, self.world, &mut self.staff).await?;
+        say("real gateways are there".into());
+        let length = Duration::from_secs(self.plan.seconds);
+        let mut seen = pair.phase("quiet", length, None).await?;
+        let mut own = Proposer::new(self.fleet.origin.at);
+        let (rate, hosts) = (10.0 * self.plan.changes_per_s, self.plan.host_changes_per_s);
+        let (changed, stirred) = tokio::join!(
+            self.changes(Instant::now() + length, rate, hosts),
+            pair.phase("ten times the changes", length, Some(&mut own))
+        );
+        changed?;
+        seen.extend(stirred?);
+        let drained = pair.drain(&mut own, DRAIN_WITHIN).await?;
+        own.answered().await?;
+        // What the pair's own staff changed counts at the end as well.
+        self.staff.take_in(&mut own);
+        Ok((seen, Some(drained)))
+    }
+
     /// What the judge is shown at the end.
     async fn evidence(&mut self) -> Result<(Evidence, Vec<Told>), String> {
         let (_, report) = self.settled().await?;
--- a/scale/tests/fleet.rs
+++ b/scale/tests/fleet.rs
@@ -4,7 +4,7 @@
 use ternstack_rig::process::Launch;
 use ternstack_scale::judge::Promise;
 use ternstack_scale::options::Options;
-use ternstack_scale::run::play;
+use ternstack_scale::run::{play, Launches};
 
 #[derive(Parser)]
 struct Cli {
@@ -20,10 +20,11 @@
 fn a_small_fleet_holds_the_same_state_through_a_kill() -> Result<(), String> {
     let options = Cli::try_parse_from(SMALL.split_whitespace()).map_err(|e| e.to_string())?.options;
     let plans = options.plans()?;
-    let launch = Launch { program: env!("CARGO_BIN_EXE_ternstack-part").into(), args: Vec::new() };
+    let part = Launch { program: env!("CARGO_BIN_EXE_ternstack-part").into(), args: Vec::new() };
+    let launches = Launches { part, gateway: None };
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    let outcome = runtime.block_on(play(&launch, &plans[0], false, &|_| {}))?;
+    let outcome = runtime.block_on(play(&launches, &plans[0], false, &|_| {}))?;
     let timed = [Promise::OneVersion, Promise::Drains];
     let broken: Vec<_> = outcome.offences.iter().filter(|o| !timed.contains(&o.promise)).collect();
     assert!(broken.is_empty(), "{broken:?}");
--- a/scale/tests/judge.rs
+++ b/scale/tests/judge.rs
@@ -42,7 +42,7 @@
         agreed: BTreeMap::from([(Scope::Zones, digest)]),
         held: vec![Held { scope: Scope::Zones, digest, followers: 2 }],
         followers: (2, 2),
-        spans: spans(tracks.iter(), 1_000_000),
+        spans: spans(tracks.iter().enumerate(), 1_000_000),
         went_back: 0,
         drains: vec![Drain { host: "host-0".into(), asked: 2, still: 0 }],
         origin_keeps_all: true,
@@ -97,12 +97,13 @@
         track(&[(0, Leased), (0, InForce(1)), (800, InForce(2))]),
         track(&[(0, Leased), (0, InForce(1)), (3900, Lost)]),
     ];
-    let evidence = Evidence { spans: spans(tracks.iter(), 4_000_000), ..sound() };
+    let evidence = Evidence { spans: spans(tracks.iter().enumerate(), 4_000_000), ..sound() };
     assert_eq!(longest_contradiction(&evidence.spans), (1, 3_100_000));
+    assert_eq!(evidence.spans[&1].last_by, 1);
     assert_eq!(broken(&evidence), [Promise::OneVersion]);
     // The same while it goes on.
     let tracks = [&tracks[0], &track(&[(0, Leased), (0, InForce(1))])];
-    assert_eq!(longest_contradiction(&spans(tracks.into_iter(), 4_000_000)), (1, 3_200_000));
+    assert_eq!(longest_contradiction(&spans(tracks.into_iter().enumerate(), 4_000_000)), (1, 3_200_000));
 }
 
 #[test]
@@ -111,7 +112,7 @@
         track(&[(0, Leased), (0, InForce(1)), (800, InForce(2)), (900, InForce(3))]),
         track(&[(0, Leased), (0, InForce(1)), (2500, InForce(3))]),
     ];
-    assert_eq!(longest_contradiction(&spans(tracks.iter(), 4_000_000)), (1, 1_700_000));
+    assert_eq!(longest_contradiction(&spans(tracks.iter().enumerate(), 4_000_000)), (1, 1_700_000));
 }
 
 #[test]
@@ -121,18 +122,18 @@
         track(&[(0, Leased), (0, InForce(1)), (800, InForce(2))]),
         track(&[(0, Leased), (0, InForce(1)), (1900, Lost), (9000, Leased), (9000, InForce(2))]),
     ];
-    assert_eq!(longest_contradiction(&spans(tracks.iter(), 10_000_000)), (1, 1_100_000));
+    assert_eq!(longest_contradiction(&spans(tracks.iter().enumerate(), 10_000_000)), (1, 1_100_000));
     assert_eq!(tracks[1].number(), 2);
     // News without a lease is not acted on.
     let told = track(&[(0, Leased), (0, InForce(1)), (1900, Lost), (3000, InForce(2))]);
-    assert_eq!((told.number(), spans([told].iter(), 4_000_000).len()), (0, 1));
+    assert_eq!((told.number(), spans([told].iter().enumerate(), 4_000_000).len()), (0, 1));
 }
 
 #[test]
 fn what_a_life_acted_on_ends_with_it() {
     let mut over = track(&[(0, Leased), (0, InForce(1))]);
     over.ends(500_000);
-    assert_eq!(spans([over].iter(), 4_000_000)[&1].last_us, 500_000);
+    assert_eq!(spans([over].iter().enumerate(), 4_000_000)[&1].last_us, 500_000);
 }
 
 #[test]
