--- a/scale/src/real.rs
+++ b/scale/src/real.rs
@@ -62,6 +62,12 @@
         let _ = writeln!(text, "[[zone]]\nname = \"{name}\"\nnumber = {number}\nregion = \"{at}\"");
     }
     let _ = writeln!(text, "[[service]]\nname = \"real\"\nnumber = {service}");
+    // A file without an origin is refused, though gateways call the distributors.
+    let _ = writeln!(
+        text,
+        "[[machine]]\nname = \"origin\"\naddress = \"{}\"\nrole = \"origin\"\nzone = \"zone-0\"",
+        fleet.origin.at
+    );
     for (number, part) in fleet.distributors.iter().enumerate() {
         let (name, at, zone) = (&part.name, part.at, zone(world.zone_of(number)));
         let _ = writeln!(
