--- a/lab/src/capacity/control.rs
+++ b/lab/src/capacity/control.rs
@@ -141,7 +141,7 @@
     Ask {
         member,
         number: 1,
-        taken: 0,
+        heard: 0,
         known: 0,
         in_force: 0,
         interest: Interest::Whole { revision: 1, scopes: (0..scopes).map(scope).collect() },
--- a/lab/src/capacity/measure.rs
+++ b/lab/src/capacity/measure.rs
@@ -418,7 +418,7 @@
         number: 1 << 20,
         known: NUMBER,
         in_force: NUMBER,
-        taken: 1 << 20,
+        heard: 1 << 20,
         interest,
         fetch: Vec::new(),
     };
