--- a/peers/src/grantor.rs
+++ b/peers/src/grantor.rs
@@ -3,7 +3,7 @@
 //! It has no queue for anybody: an answer is worked out from the store and from what the ask tells, and costs what has
 //! changed since. Of each follower it keeps the scopes that it has whole, its lease, and its budget.
 use crate::lease::Terms;
-use crate::scope::{Number, Scope, Version};
+use crate::scope::{Change, Number, Scope, Version};
 use crate::store::Store;
 use crate::wire::{Ask, Cursor, Grant, Interest, Member, Part, HEADER, LONGEST};
 use postcard::ser_flavors::Size;
@@ -292,7 +292,7 @@
     let mut used = 0;
     for version in store.pending_since(from) {
         let new = version.number > ask.known;
-        let touches = |c: &&_| whole.contains(&scope_of(c)) || new && to.has(numbered, scope_of(c));
+        let touches = |c: &&Change| whole.contains(&c.scope) || new && to.has(numbered, c.scope);
         let changes: Vec<_> = version.changes.iter().filter(touches).copied().collect();
         if changes.is_empty() {
             continue;
@@ -307,7 +307,3 @@
     }
     true
 }
-
-fn scope_of(change: &crate::scope::Change) -> Scope {
-    change.scope
-}
