--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -5,7 +5,8 @@
 //! connects them by [`links`]; [`client`] sends requests to the gateways. Clients, stub servers and fault
 //! injection record events into one [`history`], which [`invariants`] checks. [`matrix`] injects one fault
 //! after another, [`fault_schedule`] plays random schedules of overlapping faults, [`soak`] injects failing
-//! system calls into the gateway processes, and [`demo`] is a short demonstration.
+//! system calls into the gateway processes, [`hostile`] measures a gateway's memory under hostile clients, and
+//! [`demo`] is a short demonstration.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, clippy::too_many_lines, clippy::cognitive_complexity)]
 
@@ -14,6 +15,7 @@
 pub mod error;
 pub mod fault_schedule;
 pub mod history;
+pub mod hostile;
 pub mod invariants;
 pub mod links;
 pub mod matrix;
--- a/fault-tests/src/main.rs
+++ b/fault-tests/src/main.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use ternstack_fault_tests::error::Error;
 use ternstack_fault_tests::fault_schedule::{self, Schedule};
+use ternstack_fault_tests::hostile::{self, HostileOptions};
 use ternstack_fault_tests::invariants::Violation;
 use ternstack_fault_tests::matrix;
 use ternstack_fault_tests::process::{run_gateway, Launch};
@@ -83,6 +84,9 @@
         #[arg(long)]
         table: bool,
     },
+    /// Attack a gateway with hostile clients, and print its peak memory. Exits with 1 if a run exceeded the
+    /// memory limit or ended the gateway.
+    Hostile(HostileOptions),
     /// Run as a gateway; the fault tests start their own program with this subcommand.
     #[command(hide = true)]
     Gateway,
@@ -140,10 +144,24 @@
             }
             Ok(report.violations == 0)
         }
+        Command::Hostile(options) => play_hostile(&options).await,
         Command::Gateway => Ok(true),
     }
 }
 
+async fn play_hostile(options: &HostileOptions) -> Result<bool, Error> {
+    let launch = match options.program.clone() {
+        Some(program) => Launch { program, args: Vec::new(), variables: Vec::new() },
+        None => Launch::current_program()?,
+    };
+    let mut outcomes = Vec::new();
+    for plan in options.plans() {
+        outcomes.push(hostile::play(&launch, plan).await?);
+    }
+    print!("{}", hostile::table(&outcomes));
+    Ok(outcomes.iter().all(hostile::Outcome::is_within_limit))
+}
+
 async fn run_matrix(long: bool, jobs: usize) -> Result<bool, Error> {
     let results = matrix::play_all(&Launch::current_program()?, long, jobs).await?;
     print!("{}", matrix::table(&results));
--- a/fault-tests/src/process.rs
+++ b/fault-tests/src/process.rs
@@ -123,6 +123,11 @@
         kill_process(pid, signal).map_err(|errno| self.control_error(errno))
     }
 
+    /// Returns the id of the process, or `None` if it has been awaited after its exit.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Kills the process (SIGKILL) and waits until it has exited.
     ///
     /// # Errors
