--- a/gateway/tests/client_disconnects.rs
+++ b/gateway/tests/client_disconnects.rs
@@ -256,3 +256,36 @@
         );
     }
 }
+
+// Guards against a second run of a non-idempotent request whose id comes again after its client disconnected.
+#[tokio::test]
+async fn a_non_idempotent_request_that_comes_again_after_its_client_disconnected_runs_once() {
+    for may_cancel in [false, true] {
+        let (server, discovery) = (ScriptedServer::start().await, StubDiscovery::start().await);
+        let mut config =
+            non_idempotent_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address);
+        config["settings"]["limits"]["cancel"] = may_cancel.into();
+        let gateway = Gateway::start(&config).await;
+        let mut leaving_client = gateway.client().await;
+        leaving_client.send(&sign_request("a")).await;
+        let mut connection = server.accept().await;
+        connection.read_request().await.expect("the request is forwarded");
+        drop(leaving_client);
+        sleep(Duration::from_millis(100)).await;
+        // The first attempt is still in flight, or has been cancelled and may still run at the endpoint.
+        let first = gateway.client().await.request(&sign_request("a")).await;
+        assert_eq!(first.start_line.code, 400, "a rejection would permit a retry; may_cancel {may_cancel}");
+        if !may_cancel {
+            connection.write(OK_RESPONSE).await;
+        }
+        sleep(Duration::from_millis(100)).await;
+        // The first attempt has ended by now.
+        let second = gateway.client().await.request(&sign_request("a")).await;
+        assert_eq!(second.start_line.code, 400, "the request has run or may have run");
+        let mut next_client = gateway.client().await;
+        next_client.send(&sign_request("b")).await;
+        let mut connection = if may_cancel { server.accept().await } else { connection };
+        let forwarded = connection.read_request().await.expect("another request is forwarded");
+        assert_eq!(header_value(&forwarded, "x-correlation-id"), "b");
+    }
+}
--- a/gateway/tests/stalls.rs
+++ b/gateway/tests/stalls.rs
@@ -82,3 +82,26 @@
     connection.write(OK_RESPONSE).await;
     assert_eq!(client.read_response().await.expect("the gateway responds").start_line.code, 200);
 }
+
+// Guards against attempts for a client that closed its connection with much still unread by the gateway.
+#[tokio::test]
+async fn a_request_of_a_client_that_closed_behind_many_unread_bytes_is_not_forwarded() {
+    // Within the read-ahead limit, beyond it, and beyond the limit of discarded bytes.
+    for unread_bytes in [3 * 1024, 200 * 1024, 1200 * 1024] {
+        let (mut server, discovery) = (StubServer::start(SERVE).await, StubDiscovery::start().await);
+        let gateway = StallableGateway::start(&gateway_config(
+            vec![endpoint_entry(1, server.address, "SERVING")],
+            discovery.address,
+        ));
+        let mut client = gateway.client().await;
+        let stall_guard = gateway.stall().await;
+        let pipelined = look_request("behind").repeat(unread_bytes / look_request("behind").len());
+        client.send(&format!("{}{pipelined}", look_request("a"))).await;
+        drop(client);
+        sleep(STALL).await;
+        drop(stall_guard);
+        sleep(STALL).await;
+        let ids = server.take_events().0;
+        assert!(ids.is_empty(), "{unread_bytes} bytes unread: forwarded {ids:?}");
+    }
+}
