Remove a request's deadline timer when the request has its response

Cause: the deadline timer of each request stayed in the queue until the deadline, also long after the response, so that memory grew with the rate times the deadline. Now a response cancels the timer.

--- a/fault-tests/src/hostile/kind.rs
+++ b/fault-tests/src/hostile/kind.rs
@@ -15,6 +15,8 @@
 const FLOOD_WRITE_BYTES: usize = 32 * 1024;
 /// The receive buffer of a client that reads no responses, so that the responses stay at the gateway.
 const SLOW_READER_BUFFER_BYTES: u32 = 2048;
+/// The number of clients that send one request after another at full speed.
+const SERIAL_CLIENTS: usize = 64;
 /// The pause before a hostile client connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
 /// The pause between two writes of a client that writes slowly.
@@ -45,6 +47,8 @@
     Abandon,
     /// One client sends complete small requests at full speed, each for another tenant.
     RequestFlood,
+    /// Some clients send one request after another at full speed, each with a deadline of ten minutes.
+    SerialFlood,
     /// One client sends requests for unknown paths at full speed.
     UnknownPathFlood,
     /// One client sends a large body one byte at a time at full speed.
@@ -53,7 +57,7 @@
 
 impl HostileKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [HostileKind; 12] = [
+    pub const ALL: [HostileKind; 13] = [
         HostileKind::HalfHead,
         HostileKind::ManyFields,
         HostileKind::HalfBody,
@@ -64,22 +68,24 @@
         HostileKind::Pipeline,
         HostileKind::Abandon,
         HostileKind::RequestFlood,
+        HostileKind::SerialFlood,
         HostileKind::UnknownPathFlood,
         HostileKind::ByteFlood,
     ];
 
     /// Returns the number of clients of this kind, if `crowd` clients attack at once.
     pub fn client_count(self, crowd: usize) -> usize {
-        if self.is_flood() {
-            1
-        } else {
-            crowd
+        match self {
+            HostileKind::SerialFlood => SERIAL_CLIENTS,
+            _ if self.is_flood() => 1,
+            _ => crowd,
         }
     }
 
-    /// Returns whether the kind is one client that sends at full speed.
+    /// Returns whether the kind is one or some clients that send at full speed.
     pub fn is_flood(self) -> bool {
-        matches!(self, HostileKind::RequestFlood | HostileKind::UnknownPathFlood | HostileKind::ByteFlood)
+        use HostileKind::{ByteFlood, RequestFlood, SerialFlood, UnknownPathFlood};
+        matches!(self, RequestFlood | SerialFlood | UnknownPathFlood | ByteFlood)
     }
 }
 
@@ -155,6 +161,7 @@
                 Ok(())
             }
             HostileKind::RequestFlood | HostileKind::UnknownPathFlood => self.flood(stream, &id).await,
+            HostileKind::SerialFlood => self.send_serially(&mut stream, &id).await,
             HostileKind::ByteFlood => {
                 stream
                     .write_all(format!("{}Content-Length: 65536\r\n\r\n", post_head(&id)).as_bytes())
@@ -207,6 +214,21 @@
         Ok(())
     }
 
+    /// Sends the next request as soon as the response to the last one has begun.
+    async fn send_serially(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        let mut response = vec![0; 4 * BODY_BYTES];
+        let mut number = 0;
+        while Instant::now() < self.until {
+            number += 1;
+            let request = get(&format!("{id}-{number}"), &format!("tenant-{number}"));
+            stream.write_all(request.replace("look", "report").as_bytes()).await?;
+            if stream.read(&mut response).await? == 0 {
+                break;
+            }
+        }
+        Ok(())
+    }
+
     /// Sends small requests at full speed, and reads the responses at the same time.
     async fn flood(&self, stream: TcpStream, id: &str) -> std::io::Result<()> {
         let (mut responses, mut requests) = stream.into_split();
--- a/fault-tests/src/hostile/mod.rs
+++ b/fault-tests/src/hostile/mod.rs
@@ -27,6 +27,8 @@
 const HOSTS: usize = 4;
 /// The time that a host takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(5);
+/// The deadline of the class whose requests may take long.
+const LONG_DEADLINE: Duration = Duration::from_secs(600);
 /// The number of ordinary clients.
 const ORDINARY_CLIENTS: usize = 8;
 /// The number of idle clients that a crowd adds.
@@ -209,17 +211,22 @@
                    "pod_group": 0, "state": "SERVING", "capacity_hint": 1.0, "boot_ms": 0})
         })
         .collect();
-    let class = |name: &str, effect: &str| {
-        json!({"name": name, "aim_ms": 300.0, "deadline_ms": CLIENT_TIMEOUT.as_millis() as f64,
+    let class = |name: &str, effect: &str, deadline: Duration| {
+        json!({"name": name, "aim_ms": 300.0, "deadline_ms": deadline.as_millis() as f64,
                "effect": effect, "group": "all", "late_value": 0.2})
     };
+    let classes = [
+        class("look", "safe", CLIENT_TIMEOUT),
+        class("sign", "unsafe", CLIENT_TIMEOUT),
+        class("report", "safe", LONG_DEADLINE),
+    ];
     json!({
         // Nothing listens at port 9, so that the gateway keeps its cached list.
         "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": 7,
         "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
         "known": {"rev": 40, "all": true, "targets": targets},
         "settings": {
-            "classes": [class("look", "safe"), class("sign", "unsafe")],
+            "classes": classes,
             "tenants": [{"name": "acme", "quota_per_s": 100_000.0}],
             "limits": {"cancel": true, "conn_idle_ms": 5000.0, "dial_timeout_ms": 250.0, "max_attempts": 3,
                        "max_open": 1000, "max_retry_after_ms": 1000.0, "retry_after": true},
--- a/gateway/src/event_loop/attempts.rs
+++ b/gateway/src/event_loop/attempts.rs
@@ -105,7 +105,7 @@
         }
         // The first response with status 200 is the response to the request.
         if let Some(served) = response {
-            self.requests.respond(id, Response::Served(served));
+            self.respond(id, Response::Served(served));
         }
         self.end_attempt(id, number, outcome, latency_ms, report);
         self.handle_pending_events();
--- a/gateway/src/event_loop/mod.rs
+++ b/gateway/src/event_loop/mod.rs
@@ -189,14 +189,14 @@
             Action::Cancel { request, attempt } => self.cancel_attempt(request, attempt),
             Action::Reject { request, reason, retry_after_ms } => {
                 debug!(request_id = request.0, ?reason, retry_after_ms, "request rejected");
-                self.requests.respond(request, Response::Rejected { retry_after_ms });
+                self.respond(request, Response::Rejected { retry_after_ms });
             }
             Action::Fail { request } => {
                 debug!(request_id = request.0, "request failed");
-                self.requests.respond(request, Response::Failed);
+                self.respond(request, Response::Failed);
             }
             Action::Timer { at_ms, token } => {
-                self.timers.set(self.clock.instant(at_ms), Timer::Balancer { token });
+                let _ = self.timers.set(self.clock.instant(at_ms), Timer::Balancer { token });
             }
             Action::HealthCheck { endpoint } => self.start_health_check(endpoint),
             // If the channel is full, a watch has already been requested.
@@ -205,16 +205,24 @@
         }
     }
 
+    /// Sends the response to a request's client connection, unless a response has been sent before.
+    fn respond(&mut self, id: RequestId, response: Response) {
+        // A timer that stayed until the deadline would keep memory for each request of a fast client.
+        if let Some(deadline_timer) = self.requests.respond(id, response) {
+            self.timers.cancel(deadline_timer);
+        }
+    }
+
     fn on_request(&mut self, request: Request) {
-        let Request { id, class, tenant, deadline, raw, respond_to } = request;
+        let Request { id, class, tenant, deadline, .. } = request;
         if self.requests.without_response_count() >= self.max_open_requests {
             // The receiver has been dropped if the client connection has just been closed.
-            let _ = respond_to.send(Response::Rejected { retry_after_ms: self.max_retry_after_ms });
+            let _ = request.respond_to.send(Response::Rejected { retry_after_ms: self.max_retry_after_ms });
             return;
         }
         debug!(request_id = id.0, class, tenant, "request received");
-        self.requests.insert(id, OpenRequest::new(class, deadline, raw, respond_to));
-        self.timers.set(deadline + DEADLINE_TIMER_DELAY, Timer::Deadline(id));
+        let deadline_timer = self.timers.set(deadline + DEADLINE_TIMER_DELAY, Timer::Deadline(id));
+        self.requests.insert(id, OpenRequest::new(request, deadline_timer));
         let time_left = deadline.saturating_duration_since(Instant::now());
         let client_timeout_ms = time_left.as_secs_f64() * 1000.0;
         self.notify_balancer(Event::Request(Arrival { request: id, class, tenant, client_timeout_ms }));
@@ -253,7 +261,7 @@
     /// sends no further attempts. Attempts that the balancer does not cancel are cancelled here unless they
     /// have been sent completely.
     fn close_request(&mut self, id: RequestId, response: Response) {
-        self.requests.respond(id, response);
+        self.respond(id, response);
         self.notify_balancer(Event::ClientDisconnected { request: id });
         let attempts = self.requests.get_mut(id).into_iter().flat_map(|request| &mut request.attempts);
         for cancel in attempts.filter_map(|attempt| attempt.cancel.take()) {
--- a/gateway/src/event_loop/open_requests.rs
+++ b/gateway/src/event_loop/open_requests.rs
@@ -1,5 +1,6 @@
 //! The open requests: those that have no response yet or still have attempts in flight.
-use crate::events::{RawRequest, Response};
+use super::timers::TimerKey;
+use crate::events::{RawRequest, Request, Response};
 use crate::permit::{Denial, EndpointLocality, NextAttempt, PriorAttempt};
 use crate::upstream::Cancellation;
 use std::collections::BTreeMap;
@@ -17,6 +18,8 @@
     pub(super) raw: RawRequest,
     /// The channel to the client connection; `None` once the response has been sent on it.
     respond_to: Option<oneshot::Sender<Response>>,
+    /// The timer that fires at the deadline.
+    deadline_timer: TimerKey,
     /// The request's attempts in the order in which the balancer asked for them. The index of an attempt is
     /// its number.
     pub(super) attempts: Vec<AttemptRecord>,
@@ -45,11 +48,17 @@
 }
 
 impl OpenRequest {
-    pub(super) fn new(
-        class: usize, deadline: Instant, raw: RawRequest, respond_to: oneshot::Sender<Response>,
-    ) -> Self {
-        let respond_to = Some(respond_to);
-        OpenRequest { class, deadline, raw, respond_to, attempts: Vec::new(), in_flight_count: 0 }
+    /// Returns a request without attempts. `deadline_timer` fires at its deadline.
+    pub(super) fn new(request: Request, deadline_timer: TimerKey) -> Self {
+        OpenRequest {
+            class: request.class,
+            deadline: request.deadline,
+            raw: request.raw,
+            respond_to: Some(request.respond_to),
+            deadline_timer,
+            attempts: Vec::new(),
+            in_flight_count: 0,
+        }
     }
 
     pub(super) fn has_response(&self) -> bool {
@@ -136,13 +145,17 @@
         self.get_mut(id)?.attempts.get_mut(number as usize)
     }
 
-    /// Sends the response to a request's client connection, unless a response has been sent before.
-    pub(super) fn respond(&mut self, id: RequestId, response: Response) {
-        let Some(respond_to) = self.get_mut(id).and_then(|request| request.respond_to.take()) else { return };
+    /// Sends the response to a request's client connection, unless a response has been sent before. Returns
+    /// the request's deadline timer, which is not needed any more.
+    pub(super) fn respond(&mut self, id: RequestId, response: Response) -> Option<TimerKey> {
+        let request = self.get_mut(id)?;
+        let respond_to = request.respond_to.take()?;
+        let deadline_timer = request.deadline_timer;
         self.without_response_count -= 1;
         // The receiver has been dropped if the client connection has just been closed.
         let _ = respond_to.send(response);
         self.remove_if_finished(id);
+        Some(deadline_timer)
     }
 
     /// Records the end of an attempt; returns `None` if the attempt is not known.
--- a/gateway/src/event_loop/timers.rs
+++ b/gateway/src/event_loop/timers.rs
@@ -15,17 +15,27 @@
     Deadline(RequestId),
 }
 
+/// The position of a pending timer: the time at which it is due, and its number.
+pub(super) type TimerKey = (Instant, u64);
+
 /// The pending timers. Timers due at the same instant fire in the order in which they were set.
 #[derive(Debug, Default)]
 pub(super) struct Timers {
-    by_due_time: BTreeMap<(Instant, u64), Timer>,
+    by_due_time: BTreeMap<TimerKey, Timer>,
     last_sequence: u64,
 }
 
 impl Timers {
-    pub(super) fn set(&mut self, due_at: Instant, timer: Timer) {
+    pub(super) fn set(&mut self, due_at: Instant, timer: Timer) -> TimerKey {
         self.last_sequence += 1;
-        self.by_due_time.insert((due_at, self.last_sequence), timer);
+        let key = (due_at, self.last_sequence);
+        self.by_due_time.insert(key, timer);
+        key
+    }
+
+    /// Removes a timer that is not needed any more. Does nothing if the timer has fired.
+    pub(super) fn cancel(&mut self, key: TimerKey) {
+        self.by_due_time.remove(&key);
     }
 
     /// Returns the time at which the next timer is due; `None` if no timer is set.
