Keep a correlation id in use while its request may still run

Cause: the reservation of the id was a local of the client connection's task and ended with the connection, while the attempt went on at its endpoint. Class: the life of a guard bound to the wrong owner.

The event loop now owns the reservation until the request has a response and no attempt in flight.

--- a/gateway/src/event_loop/mod.rs
+++ b/gateway/src/event_loop/mod.rs
@@ -222,7 +222,7 @@
         }
         debug!(request_id = id.0, class, tenant, "request received");
         let deadline_timer = self.timers.set(deadline + DEADLINE_TIMER_DELAY, Timer::Deadline(id));
-        self.requests.insert(id, OpenRequest::new(request, deadline_timer));
+        self.requests.insert(id, OpenRequest::new(request, &self.classes[class], deadline_timer));
         let time_left = deadline.saturating_duration_since(Instant::now());
         let client_timeout_ms = time_left.as_secs_f64() * 1000.0;
         self.notify_balancer(Event::Request(Arrival { request: id, class, tenant, client_timeout_ms }));
--- a/gateway/src/event_loop/open_requests.rs
+++ b/gateway/src/event_loop/open_requests.rs
@@ -1,10 +1,11 @@
 //! The open requests: those that have no response yet or still have attempts in flight.
 use super::timers::TimerKey;
+use crate::correlation_ids::CorrelationIdGuard;
 use crate::events::{RawRequest, Request, Response};
 use crate::permit::{Denial, EndpointLocality, NextAttempt, PriorAttempt};
 use crate::upstream::Cancellation;
 use std::collections::BTreeMap;
-use ternstack_balancer::{EndpointId, Outcome, RequestClass, RequestId};
+use ternstack_balancer::{EndpointId, Idempotency, Outcome, RequestClass, RequestId};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -18,6 +19,10 @@
     pub(super) raw: RawRequest,
     /// The channel to the client connection; `None` once the response has been sent on it.
     respond_to: Option<oneshot::Sender<Response>>,
+    /// The reservation of the request's correlation id, kept until the request has ended.
+    correlation_id: CorrelationIdGuard,
+    /// Whether endpoints may run the request twice if it is sent twice.
+    is_non_idempotent: bool,
     /// The timer that fires at the deadline.
     deadline_timer: TimerKey,
     /// The request's attempts in the order in which the balancer asked for them. The index of an attempt is
@@ -49,12 +54,14 @@
 
 impl OpenRequest {
     /// Returns a request without attempts. `deadline_timer` fires at its deadline.
-    pub(super) fn new(request: Request, deadline_timer: TimerKey) -> Self {
+    pub(super) fn new(request: Request, class: &RequestClass, deadline_timer: TimerKey) -> Self {
         OpenRequest {
             class: request.class,
             deadline: request.deadline,
             raw: request.raw,
             respond_to: Some(request.respond_to),
+            correlation_id: request.correlation_id,
+            is_non_idempotent: class.idempotency != Idempotency::Idempotent,
             deadline_timer,
             attempts: Vec::new(),
             in_flight_count: 0,
@@ -174,8 +181,11 @@
     }
 
     fn remove_if_finished(&mut self, id: RequestId) {
-        if self.get(id).is_some_and(|request| request.has_response() && request.in_flight_count == 0) {
-            self.by_id.remove(&id);
+        let is_finished =
+            self.get(id).is_some_and(|request| request.has_response() && request.in_flight_count == 0);
+        let Some(mut finished) = is_finished.then(|| self.by_id.remove(&id)).flatten() else { return };
+        if finished.is_non_idempotent && finished.may_have_run() {
+            finished.correlation_id.retain();
         }
     }
 }
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -2,6 +2,7 @@
 //! back.
 //!
 //! The tasks depend on this module instead of on one another.
+use crate::correlation_ids::CorrelationIdGuard;
 use crate::endpoint_list::EndpointList;
 use crate::http1::{CompleteMessage, StatusLine};
 use bytes::Bytes;
@@ -62,6 +63,8 @@
     pub deadline: Instant,
     /// The bytes to forward to an endpoint.
     pub raw: RawRequest,
+    /// The reservation of the request's correlation id.
+    pub correlation_id: CorrelationIdGuard,
     /// The channel on which the client connection waits for the one response.
     pub respond_to: oneshot::Sender<Response>,
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod correlation_ids;
 pub mod descriptors;
 pub mod discovery;
 pub mod endpoint_list;
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -7,7 +7,7 @@
 use crate::budget::ConnectionState;
 use crate::events::{GatewayEvent, Response};
 use crate::http1::{CompleteMessage, Reader, RequestLine, MAX_BODY_BYTES};
-use crate::protocol::{API_PATH, CORRELATION_ID, READINESS_PATH};
+use crate::protocol::{API_PATH, READINESS_PATH};
 use crate::response::{EncodedResponse, LocalResponse};
 use crate::sockets;
 use bytes::Buf;
@@ -250,9 +250,6 @@
         if self.slot.is_spare() || self.frontend.phase() == ShutdownPhase::Rejecting {
             return Ok(rejected).into();
         }
-        let correlation_id = message.fields.bytes(CORRELATION_ID);
-        let reserved = correlation_id.and_then(|id| self.frontend.reserve_correlation_id(id));
-        let Some(_reserved) = reserved else { return InvalidRequest::CorrelationIdInUse.into() };
         let id = request.id;
         drop(message);
         let mut client = ClientReader {
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -7,13 +7,12 @@
 mod connection;
 mod request;
 
+use crate::correlation_ids::SharedCorrelationIds;
 use crate::descriptors::{Descriptor, Descriptors};
 use crate::events::EventSender;
 use crate::loop_lag::LoopLag;
-use bytes::Bytes;
-use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::RequestId;
 use ternstack_settings::Deployment;
@@ -53,7 +52,7 @@
     spare_slots: Arc<Semaphore>,
     lingering_slots: Semaphore,
     connection_count: AtomicUsize,
-    open_correlation_ids: Mutex<HashSet<Bytes>>,
+    correlation_ids: Arc<SharedCorrelationIds>,
     /// The retry advice, in milliseconds, of a rejection that the balancer has not decided.
     max_retry_after_ms: f64,
     lag: LoopLag,
@@ -109,18 +108,6 @@
     }
 }
 
-/// A guard that reserves the correlation id of an open request until the guard is dropped.
-struct CorrelationIdGuard<'a> {
-    frontend: &'a Frontend,
-    id: Bytes,
-}
-
-impl Drop for CorrelationIdGuard<'_> {
-    fn drop(&mut self) {
-        self.frontend.open_correlation_ids().remove(&self.id);
-    }
-}
-
 impl Frontend {
     /// Returns a frontend whose client connections share the budget of `descriptors` with the upstream
     /// connections.
@@ -139,7 +126,7 @@
             spare_slots: Arc::new(Semaphore::new(MAX_SPARE_CONNECTIONS)),
             lingering_slots: Semaphore::new(MAX_LINGERING_CONNECTIONS),
             connection_count: AtomicUsize::new(0),
-            open_correlation_ids: Mutex::default(),
+            correlation_ids: SharedCorrelationIds::new(),
         })
     }
 
@@ -157,16 +144,4 @@
     fn next_request_id(&self) -> RequestId {
         RequestId(self.next_request_id.fetch_add(1, Ordering::Relaxed))
     }
-
-    fn open_correlation_ids(&self) -> MutexGuard<'_, HashSet<Bytes>> {
-        self.open_correlation_ids.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Reserves a correlation id. Returns `None` if another open request has the same id.
-    fn reserve_correlation_id(&self, id: Bytes) -> Option<CorrelationIdGuard<'_>> {
-        let is_free = self.open_correlation_ids().insert(id.clone());
-        // The guard is constructed only for a new id, because dropping the guard would release the other
-        // request's id.
-        is_free.then(|| CorrelationIdGuard { frontend: self, id })
-    }
 }
--- a/gateway/src/listener/request.rs
+++ b/gateway/src/listener/request.rs
@@ -42,7 +42,7 @@
 }
 
 impl Frontend {
-    /// Converts a message that arrived at `arrived_at` to a request.
+    /// Converts a message that arrived at `arrived_at` to a request, and reserves its correlation id.
     pub(super) fn parse_request(
         &self, message: &CompleteMessage<RequestLine>, arrived_at: Instant,
         respond_to: oneshot::Sender<Response>,
@@ -62,6 +62,8 @@
         }
         let time_left_ms = parse_time_left_ms(message, settings.deadline_ms)?;
         let tenant = fields.text(TENANT).and_then(|name| self.deployment.names.tenant_index(name));
+        let correlation_id = fields.get(CORRELATION_ID).and_then(|id| self.correlation_ids.reserve(id));
+        let correlation_id = correlation_id.ok_or(InvalidRequest::CorrelationIdInUse)?;
         let id = self.next_request_id();
         // The client's time left runs from the arrival, which is before now for a pipelined request and after
         // a stall.
@@ -76,7 +78,7 @@
             "request read"
         );
         let (deadline, raw) = (now + time_left, raw_request(message));
-        Ok(Request { id, class, tenant, deadline, raw, respond_to })
+        Ok(Request { id, class, tenant, deadline, raw, correlation_id, respond_to })
     }
 }
 
