--- a/fault-tests/src/hostile/mod.rs
+++ b/fault-tests/src/hostile/mod.rs
@@ -105,7 +105,7 @@
 impl Outcome {
     /// Returns whether the process stayed within its memory limit and did not end by itself.
     pub fn is_within_limit(&self) -> bool {
-        !self.ended_by_itself && self.peak_kib <= self.plan.memory_mb * 1024
+        !self.ended_by_itself && self.peak_kib * 1024 <= self.plan.memory_mb * 1_000_000
     }
 }
 
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -17,6 +17,16 @@
 const MIN_SOCKETS: u64 = 64;
 /// The maximum number of open sockets if the file has no `limits.sockets`.
 const DEFAULT_MAX_SOCKETS: u64 = 1024;
+/// The smallest accepted value of the file's `limits.memory_mb`, because a gateway with less memory cannot hold
+/// its endpoint list beside some connections.
+const MIN_MEMORY_MB: f64 = 16.0;
+/// The memory limit if the file has no `limits.memory_mb`: the least that the platform gives a gateway.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
+/// The largest value of `limits.memory_mb` that makes a difference.
+const MAX_MEMORY_MB: f64 = 1e6;
+/// The number of bytes in a megabyte of `limits.memory_mb`. The smaller of the two usual meanings, because a
+/// process beyond its limit is killed.
+const BYTES_PER_MB: f64 = 1e6;
 /// The gateway's name in log lines if neither `LB_NAME` nor the file gives one.
 const DEFAULT_NAME: &str = "gateway";
 
@@ -33,6 +43,8 @@
     pub seed: u64,
     /// The maximum number of open sockets, those of clients, endpoints and the gateway itself together.
     pub max_sockets: usize,
+    /// The memory limit of the process, in bytes.
+    pub max_memory_bytes: u64,
     /// The endpoint list that the balancer uses until discovery has responded.
     pub cached_list: EndpointList,
     /// The parsed settings of the file: classes, tenants, zones and limits.
@@ -84,6 +96,9 @@
     /// The file's `limits.sockets` is malformed or too small.
     #[error("LB_CONFIG: limits.sockets: expected a whole number of at least {MIN_SOCKETS}")]
     Sockets,
+    /// The file's `limits.memory_mb` is malformed or too small.
+    #[error("LB_CONFIG: limits.memory_mb: expected a number of at least {MIN_MEMORY_MB}")]
+    Memory,
     /// The file's `seed` is malformed.
     #[error("LB_CONFIG: seed: expected 16 hexadecimal digits or a whole number")]
     Seed,
@@ -158,6 +173,7 @@
                 value.as_u64().filter(|count| *count >= MIN_SOCKETS).ok_or(ConfigError::Sockets)?
             }
         };
+        let max_memory_bytes = (memory_mb(&file)? * BYTES_PER_MB) as u64;
         let cached_list = match file.get("known") {
             None | Some(Value::Null) => EndpointList::default(),
             Some(value) => EndpointList::from_value(value)?,
@@ -174,6 +190,7 @@
             discovery: source.address("LB_DISCOVERY", "discovery")?,
             seed: parse_seed(file.get("seed"))?,
             max_sockets: usize::try_from(max_sockets).unwrap_or(usize::MAX),
+            max_memory_bytes,
             cached_list,
             deployment: Deployment::from_json(settings)?,
             log_level,
@@ -213,6 +230,17 @@
     }
 }
 
+/// Returns the memory limit of the file, in megabytes.
+fn memory_mb(file: &Value) -> Result<f64, ConfigError> {
+    match file.pointer("/limits/memory_mb") {
+        None | Some(Value::Null) => Ok(DEFAULT_MEMORY_MB),
+        Some(value) => {
+            let memory_mb = value.as_f64().filter(|mb| *mb >= MIN_MEMORY_MB).ok_or(ConfigError::Memory)?;
+            Ok(memory_mb.min(MAX_MEMORY_MB))
+        }
+    }
+}
+
 /// Parses the seed, which is a string of 16 hexadecimal digits or a whole number.
 fn parse_seed(value: Option<&Value>) -> Result<u64, ConfigError> {
     let seed = match value {
--- a/gateway/src/event_loop/attempts.rs
+++ b/gateway/src/event_loop/attempts.rs
@@ -144,6 +144,7 @@
                 before_time_left: Bytes::from_static(HEALTH_CHECK_HEAD),
                 after_time_left: Bytes::from_static(HEALTH_CHECK_TAIL),
                 body: Bytes::new(),
+                lease: None,
             },
             give_up_at: Instant::now() + self.health_check_timeout,
             send_by: None,
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -5,8 +5,10 @@
 use crate::correlation_ids::CorrelationIdGuard;
 use crate::endpoint_list::EndpointList;
 use crate::http1::{CompleteMessage, StatusLine};
+use crate::memory::MemoryLease;
 use bytes::Bytes;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use ternstack_balancer::{EndpointId, LoadReport, Outcome, RequestId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
@@ -78,13 +80,30 @@
     pub after_time_left: Bytes,
     /// The body as sent by the client, without the framing of the client connection.
     pub body: Bytes,
+    /// The memory of a large request, released with the last copy of the request.
+    pub lease: Option<Arc<MemoryLease>>,
+}
+
+/// An endpoint's response with status 200.
+#[derive(Debug)]
+pub struct ServedResponse {
+    /// The response as received.
+    pub message: CompleteMessage<StatusLine>,
+    /// The memory of a large response.
+    pub lease: Option<MemoryLease>,
+}
+
+impl From<CompleteMessage<StatusLine>> for ServedResponse {
+    fn from(message: CompleteMessage<StatusLine>) -> Self {
+        ServedResponse { message, lease: None }
+    }
 }
 
 /// The final response to a request.
 #[derive(Debug)]
 pub enum Response {
     /// An endpoint has served the request.
-    Served(CompleteMessage<StatusLine>),
+    Served(ServedResponse),
     /// The request was rejected, and the client may safely retry it.
     Rejected {
         /// The delay after which the client may retry, in milliseconds; 0 for a response without
@@ -111,7 +130,7 @@
     /// The load report in the endpoint's response, empty if there is none.
     pub report: LoadReport,
     /// The endpoint's response, if the outcome is `Served`.
-    pub response: Option<CompleteMessage<StatusLine>>,
+    pub response: Option<ServedResponse>,
 }
 
 /// The receiver of discovery's address, which may change when the configuration is reread.
--- a/gateway/src/http1/chunked.rs
+++ b/gateway/src/http1/chunked.rs
@@ -1,6 +1,6 @@
 //! Decoding of bodies with the chunked transfer coding.
 use super::{ParseError, MAX_FIELDS};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use std::mem;
 
 /// The maximum length of a chunk size line with its extensions, and likewise of a trailer field line.
@@ -27,6 +27,17 @@
         ChunkedBody { expected: Expected::SizeLine, data: BytesMut::new() }
     }
 
+    /// Returns the memory of the decoded data once the next `encoded_bytes` have been decoded. The data's
+    /// buffer at least doubles when it grows.
+    pub(super) fn memory_bytes(&self, encoded_bytes: usize) -> usize {
+        let needed_bytes = self.data.len() + encoded_bytes;
+        if needed_bytes <= self.data.capacity() {
+            self.data.capacity()
+        } else {
+            needed_bytes.max(2 * self.data.capacity())
+        }
+    }
+
     /// Removes the received part of the body from `buffer`. Returns the decoded body once it is complete.
     pub(super) fn decode(
         &mut self, buffer: &mut BytesMut, max_body_bytes: usize,
@@ -55,13 +66,14 @@
 
     /// Removes the received part of a chunk's data from `buffer`. Returns true once the chunk is complete.
     fn take_data(&mut self, buffer: &mut BytesMut, remaining_bytes: usize) -> bool {
-        let part = buffer.split_to(remaining_bytes.min(buffer.len()));
-        self.data.extend_from_slice(&part);
-        let is_complete = part.len() == remaining_bytes;
+        let part_bytes = remaining_bytes.min(buffer.len());
+        self.data.extend_from_slice(&buffer[..part_bytes]);
+        buffer.advance(part_bytes);
+        let is_complete = part_bytes == remaining_bytes;
         self.expected = if is_complete {
             Expected::DataEnd
         } else {
-            Expected::Data { remaining_bytes: remaining_bytes - part.len() }
+            Expected::Data { remaining_bytes: remaining_bytes - part_bytes }
         };
         is_complete
     }
--- a/gateway/src/http1/fields.rs
+++ b/gateway/src/http1/fields.rs
@@ -39,6 +39,11 @@
         Fields { head, spans }
     }
 
+    /// Returns the memory that the head and the positions of its fields take.
+    pub(crate) fn memory_bytes(&self) -> usize {
+        self.head.len() + self.spans.capacity() * size_of::<FieldSpans>()
+    }
+
     /// Returns the bytes of a span of the head.
     pub(super) fn span(&self, span: &Span) -> &[u8] {
         &self.head[span.clone()]
--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -2,10 +2,12 @@
 use super::fields::Fields;
 use super::head::{Head, RequestLine, StartLine};
 use super::{Framing, ParseError, MAX_HEAD_BYTES};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 
-/// The minimum free space in the buffer before each read.
-const MIN_READ_BYTES: usize = 2048;
+/// The initial size of the buffer, enough for most messages.
+const INITIAL_BUFFER_BYTES: usize = 2048;
+/// The minimum free space in the buffer before each read, unless less is missing in the message.
+const MIN_READ_BYTES: usize = 512;
 /// The maximum number of interim responses before a final response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 /// The number of already scanned bytes that the end of a head, `\r\n\r\n`, can include.
@@ -24,6 +26,14 @@
     pub keep_alive: bool,
 }
 
+impl<S> CompleteMessage<S> {
+    /// Returns the memory of the message. The buffer of a body without a stated length may be twice as large
+    /// as the body.
+    pub fn memory_bytes(&self) -> usize {
+        self.fields.memory_bytes() + 2 * self.body.len()
+    }
+}
+
 impl CompleteMessage<RequestLine> {
     /// Returns the request's method.
     pub fn method(&self) -> &[u8] {
@@ -43,10 +53,24 @@
     framing: Framing,
 }
 
+impl<S> PartialMessage<S> {
+    /// Returns the memory of the message once the next `unparsed_bytes` have been parsed, beside the reader's
+    /// buffer.
+    fn memory_bytes(&self, unparsed_bytes: usize) -> usize {
+        let body_bytes = match &self.framing {
+            Framing::Chunked(body) => body.memory_bytes(unparsed_bytes),
+            Framing::Length(_) | Framing::UntilClose => 0,
+        };
+        self.message.fields.memory_bytes() + body_bytes
+    }
+}
+
 /// A reader that assembles messages from the bytes of a connection.
 #[derive(Debug)]
 pub struct Reader<S> {
     buffer: BytesMut,
+    /// The size of the allocation that `buffer` is a part of.
+    allocated_bytes: usize,
     partial: Option<PartialMessage<S>>,
     /// The length of the buffer, in bytes, from which an incomplete head is parsed again.
     min_parse_bytes: usize,
@@ -61,6 +85,7 @@
     pub fn new(max_body_bytes: usize) -> Self {
         Reader {
             buffer: BytesMut::new(),
+            allocated_bytes: 0,
             partial: None,
             min_parse_bytes: 1,
             scanned_bytes: 0,
@@ -69,12 +94,55 @@
         }
     }
 
-    /// Returns the buffer to which the caller appends the next bytes of the connection.
+    /// Returns the buffer, with free space, to which the caller appends the next bytes of the connection.
     pub fn buffer(&mut self) -> &mut BytesMut {
-        self.buffer.reserve(MIN_READ_BYTES);
+        if let Some(size_bytes) = self.next_allocation_bytes() {
+            // A new buffer of this size, because `BytesMut` chooses sizes of its own when it grows.
+            let mut buffer = BytesMut::with_capacity(size_bytes);
+            buffer.extend_from_slice(&self.buffer);
+            (self.buffer, self.allocated_bytes) = (buffer, size_bytes);
+        }
         &mut self.buffer
     }
 
+    /// Returns the number of received bytes that have not been parsed.
+    pub fn unparsed_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
+    /// Returns the size of the buffer that the next call of [`Reader::buffer`] allocates: at least twice the
+    /// received bytes, but no larger than the message needs. Returns `None` while the buffer has free space.
+    fn next_allocation_bytes(&self) -> Option<usize> {
+        let received_bytes = self.buffer.len();
+        let missing_bytes = match self.partial.as_ref().map(|partial| &partial.framing) {
+            Some(Framing::Length(length)) => length.saturating_sub(received_bytes).max(1),
+            _ => usize::MAX,
+        };
+        let free_bytes = self.buffer.capacity() - received_bytes;
+        if free_bytes >= missing_bytes.min(MIN_READ_BYTES) {
+            return None;
+        }
+        let grown_bytes = (2 * received_bytes).max(received_bytes + MIN_READ_BYTES);
+        Some(grown_bytes.max(INITIAL_BUFFER_BYTES).min(received_bytes.saturating_add(missing_bytes)))
+    }
+
+    /// Returns the memory that the reader holds once the next bytes have been read and parsed.
+    pub fn memory_bytes(&self) -> usize {
+        let buffer_bytes = self.next_allocation_bytes().unwrap_or(self.allocated_bytes);
+        buffer_bytes + self.partial.as_ref().map_or(0, |partial| partial.memory_bytes(buffer_bytes))
+    }
+
+    /// Returns the most memory that the message which is being received can take until it is complete.
+    pub fn max_memory_bytes(&self) -> usize {
+        let Some(partial) = &self.partial else { return MAX_HEAD_BYTES };
+        let body_bytes = match &partial.framing {
+            Framing::Length(length) => *length,
+            // The buffer doubles when it grows.
+            Framing::Chunked(_) | Framing::UntilClose => 2 * self.max_body_bytes,
+        };
+        partial.message.fields.memory_bytes() + body_bytes.min(2 * self.max_body_bytes)
+    }
+
     /// Returns whether any byte of the next message, or an interim response before it, has been received.
     pub fn has_begun(&self) -> bool {
         self.interim_count > 0 || !self.is_idle()
@@ -131,7 +199,9 @@
             return Err(ParseError::HeadTooLarge);
         }
         (self.min_parse_bytes, self.scanned_bytes) = (1, 0);
-        let fields = Fields::new(self.buffer.split_to(length_bytes).freeze(), spans);
+        // A copy, so that the head does not keep the whole buffer in memory.
+        let fields = Fields::new(Bytes::copy_from_slice(&self.buffer[..length_bytes]), spans);
+        self.buffer.advance(length_bytes);
         let framing = match fields.framing()? {
             _ if start_line.has_no_body() => Framing::Length(0),
             Some(framing) => framing,
@@ -163,11 +233,23 @@
             Framing::Length(length) if *length > self.max_body_bytes => Err(ParseError::BodyTooLarge),
             Framing::Length(length) => {
                 let is_complete = self.buffer.len() >= *length;
-                Ok(is_complete.then(|| self.buffer.split_to(*length).freeze()))
+                Ok(is_complete.then(|| self.take_from_buffer(*length)))
             }
             Framing::UntilClose if self.buffer.len() > self.max_body_bytes => Err(ParseError::BodyTooLarge),
-            Framing::UntilClose => Ok(is_closed.then(|| self.buffer.split().freeze())),
+            Framing::UntilClose => Ok(is_closed.then(|| self.take_from_buffer(self.buffer.len()))),
             Framing::Chunked(body) => body.decode(&mut self.buffer, self.max_body_bytes),
         }
     }
+
+    /// Removes a body from the buffer. The body and the rest of the buffer share no allocation.
+    fn take_from_buffer(&mut self, length_bytes: usize) -> Bytes {
+        if length_bytes == 0 {
+            return Bytes::new();
+        }
+        let rest = BytesMut::from(&self.buffer[length_bytes..]);
+        self.allocated_bytes = rest.capacity();
+        let mut body = std::mem::replace(&mut self.buffer, rest);
+        body.truncate(length_bytes);
+        body.freeze()
+    }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,8 +4,8 @@
 //! The `listener` sends each request as an event ([`events`]) to the `event_loop`, the one task that owns the
 //! [`Balancer`](ternstack_balancer::Balancer). The event loop sends attempts through [`upstream`] and gives
 //! the response back to the listener, which encodes it ([`response`]). [`discovery`] or [`control`] supplies
-//! the endpoint list ([`endpoint_list`]), `permit` decides whether an attempt may begin, and [`budget`]
-//! limits the open connections. `protocol` holds the platform's header names and paths, and [`http1`] parses
+//! the endpoint list ([`endpoint_list`]), and `permit` decides whether an attempt may begin. [`budget`] limits
+//! the open connections, and [`memory_budget`] the bytes that are held for peers. `protocol` holds the platform's header names and paths, and [`http1`] parses
 //! and frames HTTP/1.1 messages. [`program`] runs the gateway as a process.
 //!
 //! A module is public only if tests or other packages use it.
@@ -13,7 +13,9 @@
 #![deny(missing_docs, clippy::too_many_lines, clippy::cognitive_complexity)]
 
 pub mod budget;
+pub mod budgets;
 pub mod clock;
+pub mod closes;
 pub mod config;
 pub mod control;
 pub mod correlation_ids;
@@ -26,6 +28,8 @@
 mod invariants;
 mod listener;
 mod loop_lag;
+pub mod memory;
+pub mod memory_budget;
 mod permit;
 pub mod program;
 mod protocol;
--- a/gateway/src/listener/accept.rs
+++ b/gateway/src/listener/accept.rs
@@ -72,7 +72,7 @@
                         warned_at = Some(Instant::now());
                     }
                     if lacks_descriptors(&e) {
-                        self.descriptors.make_room();
+                        self.budgets.descriptors.make_room();
                     }
                     sleep(RETRY_DELAY).await;
                 }
@@ -106,7 +106,7 @@
     /// Spawns the task that serves a connection, which arrived at `arrived_at` or later. Returns true if
     /// another connection was evicted for the new one and is still being closed.
     fn admit(self: &Arc<Self>, stream: TcpStream, spare: OwnedSemaphorePermit, arrived_at: Instant) -> bool {
-        let (slot, has_evicted) = match self.descriptors.admit() {
+        let (slot, has_evicted) = match self.budgets.descriptors.admit() {
             Some(AdmittedClient { descriptor, evicted, has_evicted }) => {
                 (ClientSlot::Admitted { descriptor, evicted }, has_evicted)
             }
@@ -115,7 +115,7 @@
         // The connection is counted before its task first runs, so that a shutdown waits for the connection.
         let guard = ConnectionGuard::new(self.clone());
         tokio::spawn(async move {
-            let connection = ClientConnection::new(&guard.0, stream, slot, arrived_at);
+            let connection = ClientConnection::new(&guard, stream, slot, arrived_at);
             if let Err(e) = connection.serve().await {
                 debug!(error = %e, "client connection failed");
             }
--- a/gateway/src/listener/close.rs
+++ b/gateway/src/listener/close.rs
@@ -1,7 +1,6 @@
 //! Closing of client connections without a TCP reset, which could destroy a response before the client has
 //! read it.
-use crate::sockets;
-use bytes::BytesMut;
+use crate::sockets::{self, DISCARD_READ_BYTES};
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -10,13 +9,11 @@
 
 /// How long the gateway still reads from a client after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// The size of the buffer for one read of discarded bytes.
-pub(super) const DISCARD_READ_BYTES: usize = 64 * 1024;
-/// A read of at least this size is followed by [`LINGER_PAUSE`], so that a flooding client does not starve
+/// A read of this size is followed by [`LINGER_PAUSE`], so that a flooding client does not starve
 /// other clients.
-const LARGE_READ_BYTES: usize = DISCARD_READ_BYTES / 4;
+const LARGE_READ_BYTES: usize = DISCARD_READ_BYTES;
 /// The pause after a read of at least [`LARGE_READ_BYTES`].
-const LINGER_PAUSE: Duration = Duration::from_millis(5);
+const LINGER_PAUSE: Duration = Duration::from_millis(1);
 
 /// Ends the sending side of a connection, and reads and discards bytes until the client closes the connection
 /// or [`LINGER_TIMEOUT`] has passed. Closing a connection with unread bytes would reset it, and the client
@@ -24,19 +21,14 @@
 pub(super) async fn linger(stream: &mut TcpStream) -> io::Result<()> {
     stream.shutdown().await?;
     let linger_until = Instant::now() + LINGER_TIMEOUT;
-    let mut bytes = BytesMut::new();
     // The loop checks the time itself, because `timeout_at` does not fire while bytes are always ready to be
     // read.
     while Instant::now() < linger_until {
-        bytes.clear();
-        bytes.reserve(DISCARD_READ_BYTES);
-        match timeout_at(linger_until, sockets::read(stream, &mut bytes)).await {
+        match timeout_at(linger_until, sockets::discard(stream)).await {
+            Ok(Ok(read_bytes)) if read_bytes >= LARGE_READ_BYTES => sleep(LINGER_PAUSE).await,
             Ok(Ok(read_bytes)) if read_bytes > 0 => {}
             _ => return Ok(()),
         }
-        if bytes.len() >= LARGE_READ_BYTES {
-            sleep(LINGER_PAUSE).await;
-        }
     }
     Ok(())
 }
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -1,16 +1,20 @@
 //! The task of one client connection: waits for requests, responds to each of them, and closes the
 //! connection.
-use super::client::{ArrivedRequest, ClientReader, ReadError, MAX_READ_AHEAD_BYTES};
+use super::client::{ArrivedRequest, ClientInput, ReadError, MAX_READ_AHEAD_BYTES};
 use super::close::linger;
 use super::request::InvalidRequest;
-use super::{ClientSlot, Frontend, ShutdownPhase};
+use super::{ClientSlot, ConnectionGuard, Frontend, ShutdownPhase};
 use crate::budget::ConnectionState;
+use crate::closes::CloseReason;
 use crate::events::{GatewayEvent, Response};
-use crate::http1::{CompleteMessage, Reader, RequestLine, MAX_BODY_BYTES};
+use crate::http1::{CompleteMessage, RequestLine};
+use crate::memory::MemoryLease;
+use crate::memory_budget::Work;
 use crate::protocol::{API_PATH, READINESS_PATH};
 use crate::response::{EncodedResponse, LocalResponse};
 use crate::sockets;
 use bytes::Buf;
+use std::future::pending;
 use std::io;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -49,7 +53,8 @@
     ClientClosed,
     Invalid(LocalResponse),
     Failed(io::Error),
-    Evicted,
+    /// The connection has lost its descriptor or its memory to others.
+    Evicted(CloseReason),
 }
 
 /// The response to a request before it is encoded.
@@ -73,6 +78,8 @@
 /// A response that is ready to be written.
 struct FinalResponse {
     response: EncodedResponse,
+    /// The memory of a large response.
+    lease: Option<MemoryLease>,
     /// Whether the connection stays open after the response.
     keep_alive: bool,
 }
@@ -80,14 +87,12 @@
 /// A client connection while it is served.
 pub(super) struct ClientConnection<'a> {
     frontend: &'a Frontend,
-    stream: TcpStream,
     slot: ClientSlot,
-    reader: Reader<RequestLine>,
+    input: ClientInput<'a>,
+    connection_id: u64,
     /// A complete request that the client sent before the response to the preceding one, on a connection that
     /// must close.
     pipelined: Option<CompleteMessage<RequestLine>>,
-    /// The time since which bytes that have not been parsed may have been waiting.
-    waiting_since: Option<Instant>,
     phase: watch::Receiver<ShutdownPhase>,
     accepted_at: Instant,
     has_begun_request: bool,
@@ -96,15 +101,15 @@
 impl<'a> ClientConnection<'a> {
     /// Returns a connection whose first bytes may have been waiting since `arrived_at`.
     pub(super) fn new(
-        frontend: &'a Frontend, stream: TcpStream, slot: ClientSlot, arrived_at: Instant,
+        guard: &'a ConnectionGuard, stream: TcpStream, slot: ClientSlot, arrived_at: Instant,
     ) -> Self {
+        let frontend = &guard.frontend;
         ClientConnection {
             frontend,
-            stream,
             slot,
-            reader: Reader::new(MAX_BODY_BYTES),
+            input: ClientInput::new(guard, stream, arrived_at),
+            connection_id: guard.id,
             pipelined: None,
-            waiting_since: Some(arrived_at),
             phase: frontend.phase.clone(),
             accepted_at: Instant::now(),
             has_begun_request: false,
@@ -114,7 +119,7 @@
     /// Serves requests until the client or the gateway closes the connection.
     pub(super) async fn serve(mut self) -> io::Result<()> {
         loop {
-            if self.reader.is_idle() && self.pipelined.is_none() {
+            if self.input.reader.is_idle() && self.pipelined.is_none() {
                 match self.wait_for_first_byte().await? {
                     IdleEnd::Bytes => {}
                     IdleEnd::ClientClosed => return Ok(()),
@@ -122,23 +127,32 @@
                 }
             }
             self.set_state(ConnectionState::Reading);
-            let FinalResponse { response, keep_alive } = match self.read_request().await {
+            let response = match self.read_request().await {
                 ReadOutcome::Request(request) => self.respond(request).await,
                 ReadOutcome::ClientClosed => return Ok(()),
                 ReadOutcome::Invalid(response) => {
-                    FinalResponse { response: response.encode(false), keep_alive: false }
+                    // An invalid request is not read further, so that its memory is released at once.
+                    self.input.release();
+                    FinalResponse { response: response.encode(false), lease: None, keep_alive: false }
                 }
                 ReadOutcome::Failed(e) => return Err(e),
-                ReadOutcome::Evicted => return self.close_evicted().await,
+                ReadOutcome::Evicted(reason) => return self.close_evicted(reason).await,
             };
-            write(&self.stream, response).await?;
+            let keep_alive = response.keep_alive;
+            self.write(response).await?;
             if !keep_alive {
-                return linger(&mut self.stream).await;
+                self.input.release();
+                return linger(&mut self.input.stream).await;
             }
             self.set_state(ConnectionState::Idle);
         }
     }
 
+    /// Ends a connection that cannot be kept: counts and logs the reason.
+    fn record_close(&self, reason: CloseReason) {
+        self.frontend.closes.record(reason, self.connection_id, self.input.reader.memory_bytes());
+    }
+
     fn set_state(&self, state: ConnectionState) {
         if let ClientSlot::Admitted { descriptor, .. } = &self.slot {
             descriptor.set_state(state);
@@ -150,7 +164,7 @@
         let (phase, accepted_at) = (&mut self.phase, self.accepted_at);
         let read = tokio::select! {
             biased;
-            read = sockets::read(&self.stream, self.reader.buffer()) => Some(read?),
+            read = sockets::read(&self.input.stream, self.input.reader.buffer()) => Some(read?),
             () = async {
                 // Waiting fails only if the sender is dropped, which does not happen while the gateway runs.
                 let _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await;
@@ -166,7 +180,7 @@
         }
         if self.accepted_at.elapsed() >= SAME_ARRIVAL_WINDOW {
             // These bytes arrived after the connection was accepted.
-            self.waiting_since = None;
+            self.input.waiting_since = None;
         }
         Ok(IdleEnd::Bytes)
     }
@@ -176,26 +190,24 @@
         let begun_at = if self.has_begun_request { Instant::now() } else { self.accepted_at };
         self.has_begun_request = true;
         if let Some(message) = self.pipelined.take() {
-            let arrived_at = self.waiting_since.unwrap_or_else(Instant::now);
-            return ReadOutcome::Request(ArrivedRequest { message, arrived_at });
+            let arrived_at = self.input.waiting_since.unwrap_or_else(Instant::now);
+            return ReadOutcome::Request(ArrivedRequest { message, arrived_at, lease: None });
         }
-        let mut client = ClientReader {
-            stream: &self.stream,
-            reader: &mut self.reader,
-            waiting_since: &mut self.waiting_since,
-            lag: &self.frontend.lag,
-        };
         let read = tokio::select! {
             biased;
-            read = timeout_at(begun_at + REQUEST_READ_TIMEOUT, client.next_request()) => read,
-            () = self.slot.evicted() => return ReadOutcome::Evicted,
+            read = timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
+            () = self.slot.evicted() => return ReadOutcome::Evicted(CloseReason::Descriptor),
         };
         match read {
             Ok(Ok(Some(request))) => ReadOutcome::Request(request),
             Ok(Ok(None)) => ReadOutcome::ClientClosed,
             Ok(Err(ReadError::Parse(e))) => ReadOutcome::Invalid(e.into()),
             Ok(Err(ReadError::Io(e))) => ReadOutcome::Failed(e),
-            Err(_) => ReadOutcome::Invalid(LocalResponse::RequestTimeout),
+            Ok(Err(ReadError::Memory(_))) => ReadOutcome::Evicted(CloseReason::MemoryForRequest),
+            Err(_) => {
+                self.record_close(CloseReason::RequestTimeout);
+                ReadOutcome::Invalid(LocalResponse::RequestTimeout)
+            }
         }
     }
 
@@ -209,12 +221,12 @@
         let accepts_more = client_keeps_alive && !is_invalid && !client_disconnected;
         let is_spare = self.slot.is_spare();
         let is_evicted = self.slot.is_evicted();
-        let has_excess_input = self.reader.buffer().len() >= MAX_READ_AHEAD_BYTES;
+        let has_excess_input = self.input.reader.unparsed_bytes() >= MAX_READ_AHEAD_BYTES;
         let phase = self.frontend.phase();
         let must_close = is_spare || is_evicted || has_excess_input || phase != ShutdownPhase::Serving;
         // A connection that must close still serves the complete requests that have already been read.
         self.pipelined =
-            if accepts_more && must_close { self.reader.next(false).ok().flatten() } else { None };
+            if accepts_more && must_close { self.input.reader.next(false).ok().flatten() } else { None };
         let keep_alive = accepts_more && (!must_close || self.pipelined.is_some());
         if !keep_alive {
             debug!(
@@ -227,22 +239,30 @@
                 "closing connection after response"
             );
         }
+        if has_excess_input && !keep_alive {
+            self.record_close(CloseReason::ExcessInput);
+        }
+        let mut lease = None;
         let response = match response {
-            Ok(response) => response.encode(keep_alive),
+            Ok(mut response) => {
+                if let Response::Served(served) = &mut response {
+                    lease = served.lease.take();
+                }
+                response.encode(keep_alive)
+            }
             Err(local) => local.encode(keep_alive),
         };
-        FinalResponse { response, keep_alive }
+        FinalResponse { response, lease, keep_alive }
     }
 
     /// Returns the response to a request, from the listener itself or from the event loop. A client that has
     /// disconnected also gets a response, because it may have ended its sending side only.
     async fn handle_request(&mut self, request: ArrivedRequest) -> RequestResult {
-        let ArrivedRequest { message, arrived_at } = request;
-        if let Err(local) = self.route(&message) {
+        if let Err(local) = self.route(&request.message) {
             return Err(local).into();
         }
         let (respond_to, mut response) = oneshot::channel();
-        let request = match self.frontend.parse_request(&message, arrived_at, respond_to) {
+        let request = match self.frontend.parse_request(request, respond_to) {
             Ok(request) => request,
             Err(invalid) => return invalid.into(),
         };
@@ -251,13 +271,6 @@
             return Ok(rejected).into();
         }
         let id = request.id;
-        drop(message);
-        let mut client = ClientReader {
-            stream: &self.stream,
-            reader: &mut self.reader,
-            waiting_since: &mut self.waiting_since,
-            lag: &self.frontend.lag,
-        };
         let events = &self.frontend.events;
         tokio::select! {
             biased;
@@ -267,14 +280,14 @@
                 Err(_) => return Ok(Response::Failed).into(),
             },
             // The request has not been sent to the event loop, so it can safely be rejected.
-            () = client.disconnected() => {
+            () = self.input.disconnected() => {
                 return RequestResult { response: Ok(rejected), client_disconnected: true };
             }
         }
         tokio::select! {
             biased;
             response = &mut response => return Ok(response.unwrap_or(Response::Failed)).into(),
-            () = client.disconnected() => {}
+            () = self.input.disconnected() => {}
         }
         let _ = events.send(GatewayEvent::ClientDisconnected(id)).await;
         RequestResult { response: Ok(response.await.unwrap_or(Response::Failed)), client_disconnected: true }
@@ -302,18 +315,47 @@
         drop(self.slot);
         debug!(is_evicted, phase = ?self.frontend.phase(), "closing idle connection");
         if is_evicted {
-            return linger_evicted(self.frontend, &mut self.stream).await;
+            return linger_evicted(self.frontend, &mut self.input.stream).await;
         }
-        linger(&mut self.stream).await
+        linger(&mut self.input.stream).await
     }
 
     /// Closes a connection that was evicted in the middle of a request. The request is rejected, because its
     /// rest may have arrived by now.
-    async fn close_evicted(mut self) -> io::Result<()> {
-        debug!("closing connection evicted in the middle of a request");
+    async fn close_evicted(mut self, reason: CloseReason) -> io::Result<()> {
+        self.record_close(reason);
+        self.input.release();
         let rejected = Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
-        write(&self.stream, rejected.encode(false)).await?;
-        linger_evicted(self.frontend, &mut self.stream).await
+        let response = FinalResponse { response: rejected.encode(false), lease: None, keep_alive: false };
+        self.write(response).await?;
+        linger_evicted(self.frontend, &mut self.input.stream).await
+    }
+
+    /// Writes a response. Fails if the client does not read it in time, or if its memory is needed.
+    async fn write(&mut self, response: FinalResponse) -> io::Result<()> {
+        let FinalResponse { response, mut lease, .. } = response;
+        let mut bytes = response.head.chain(response.body);
+        if let Some(lease) = &lease {
+            lease.set_work(Work::UnreadResponse);
+        }
+        let evicted = async {
+            match &mut lease {
+                Some(lease) => lease.evicted().await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            written = timeout(RESPONSE_WRITE_TIMEOUT, sockets::write_all(&self.input.stream, &mut bytes)) => written?,
+            () = evicted => {
+                self.frontend.closes.record(
+                    CloseReason::MemoryForResponse,
+                    self.connection_id,
+                    bytes.remaining(),
+                );
+                Err(io::ErrorKind::OutOfMemory.into())
+            }
+        }
     }
 }
 
@@ -325,8 +367,3 @@
         Err(_) => Ok(()),
     }
 }
-
-async fn write(stream: &TcpStream, response: EncodedResponse) -> io::Result<()> {
-    let mut bytes = response.head.chain(response.body);
-    timeout(RESPONSE_WRITE_TIMEOUT, sockets::write_all(stream, &mut bytes)).await?
-}
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -7,8 +7,10 @@
 mod connection;
 mod request;
 
+use crate::budgets::Budgets;
+use crate::closes::CloseCounters;
 use crate::correlation_ids::SharedCorrelationIds;
-use crate::descriptors::{Descriptor, Descriptors};
+use crate::descriptors::Descriptor;
 use crate::events::EventSender;
 use crate::loop_lag::LoopLag;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -48,10 +50,12 @@
     events: EventSender,
     phase: watch::Receiver<ShutdownPhase>,
     next_request_id: AtomicU64,
-    descriptors: Arc<Descriptors>,
+    budgets: Budgets,
+    closes: CloseCounters,
     spare_slots: Arc<Semaphore>,
     lingering_slots: Semaphore,
     connection_count: AtomicUsize,
+    last_connection_id: AtomicU64,
     correlation_ids: Arc<SharedCorrelationIds>,
     /// The retry advice, in milliseconds, of a rejection that the balancer has not decided.
     max_retry_after_ms: f64,
@@ -59,18 +63,22 @@
 }
 
 /// A guard that counts a client connection from its accept until the guard is dropped.
-struct ConnectionGuard(Arc<Frontend>);
+struct ConnectionGuard {
+    frontend: Arc<Frontend>,
+    id: u64,
+}
 
 impl ConnectionGuard {
     fn new(frontend: Arc<Frontend>) -> Self {
         frontend.connection_count.fetch_add(1, Ordering::Relaxed);
-        ConnectionGuard(frontend)
+        let id = frontend.last_connection_id.fetch_add(1, Ordering::Relaxed) + 1;
+        ConnectionGuard { frontend, id }
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.connection_count.fetch_sub(1, Ordering::Relaxed);
+        self.frontend.connection_count.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -109,11 +117,10 @@
 }
 
 impl Frontend {
-    /// Returns a frontend whose client connections share the budget of `descriptors` with the upstream
-    /// connections.
+    /// Returns a frontend whose client connections share `budgets` with the upstream connections.
     pub fn new(
-        deployment: Deployment, events: EventSender, phase: watch::Receiver<ShutdownPhase>,
-        descriptors: Arc<Descriptors>, lag: LoopLag,
+        deployment: Deployment, events: EventSender, phase: watch::Receiver<ShutdownPhase>, budgets: Budgets,
+        lag: LoopLag,
     ) -> Arc<Self> {
         Arc::new(Frontend {
             lag,
@@ -122,10 +129,12 @@
             events,
             phase,
             next_request_id: AtomicU64::new(0),
-            descriptors,
+            budgets,
+            closes: CloseCounters::default(),
             spare_slots: Arc::new(Semaphore::new(MAX_SPARE_CONNECTIONS)),
             lingering_slots: Semaphore::new(MAX_LINGERING_CONNECTIONS),
             connection_count: AtomicUsize::new(0),
+            last_connection_id: AtomicU64::new(0),
             correlation_ids: SharedCorrelationIds::new(),
         })
     }
--- a/gateway/src/listener/request.rs
+++ b/gateway/src/listener/request.rs
@@ -1,12 +1,16 @@
 //! Conversion of HTTP messages to requests. The fields on which decisions depend are parsed; the other
 //! end-to-end fields and the body are forwarded as received.
+use super::client::ArrivedRequest;
 use super::Frontend;
 use crate::events::{RawRequest, Request, Response};
 use crate::http1::{CompleteMessage, RequestLine};
+use crate::memory::MemoryLease;
+use crate::memory_budget::Work;
 use crate::protocol::{
     CORRELATION_ID, DEFAULT_HOST_LINE, IDEMPOTENCY_KEY, SERVICE_CLASS, TENANT, TIME_LEFT_MS,
 };
 use bytes::BytesMut;
+use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::Idempotency;
 use tokio::sync::oneshot;
@@ -18,6 +22,9 @@
 /// The initial capacity for the part of a forwarded head after the time left, enough for most requests.
 const AFTER_TIME_LEFT_CAPACITY_BYTES: usize = 512;
 
+/// The maximum length of a correlation id in a log line.
+const MAX_LOGGED_ID_BYTES: usize = 64;
+
 /// The reason why a request is invalid.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum InvalidRequest {
@@ -42,11 +49,11 @@
 }
 
 impl Frontend {
-    /// Converts a message that arrived at `arrived_at` to a request, and reserves its correlation id.
+    /// Converts an arrived message to a request, and reserves its correlation id.
     pub(super) fn parse_request(
-        &self, message: &CompleteMessage<RequestLine>, arrived_at: Instant,
-        respond_to: oneshot::Sender<Response>,
+        &self, arrived: ArrivedRequest, respond_to: oneshot::Sender<Response>,
     ) -> Result<Request, InvalidRequest> {
+        let ArrivedRequest { message, arrived_at, lease } = arrived;
         let fields = &message.fields;
         let has_one_id = fields.all(CORRELATION_ID).count() == 1;
         if !has_one_id || fields.get(CORRELATION_ID).is_none_or(<[u8]>::is_empty) {
@@ -60,7 +67,7 @@
         if settings.idempotency == Idempotency::IdempotentWithKey && has_no_key {
             return Err(InvalidRequest::MissingIdempotencyKey);
         }
-        let time_left_ms = parse_time_left_ms(message, settings.deadline_ms)?;
+        let time_left_ms = parse_time_left_ms(&message, settings.deadline_ms)?;
         let tenant = fields.text(TENANT).and_then(|name| self.deployment.names.tenant_index(name));
         let correlation_id = fields.get(CORRELATION_ID).and_then(|id| self.correlation_ids.reserve(id));
         let correlation_id = correlation_id.ok_or(InvalidRequest::CorrelationIdInUse)?;
@@ -72,12 +79,13 @@
         let time_left = Duration::from_secs_f64(time_left_ms / 1000.0).saturating_sub(waited);
         debug!(
             request_id = id.0,
-            correlation_id = fields.text(CORRELATION_ID),
+            correlation_id =
+                fields.text(CORRELATION_ID).map(|id| id.get(..MAX_LOGGED_ID_BYTES).unwrap_or(id)),
             time_left_ms,
             waited_ms = waited.as_millis() as u64,
             "request read"
         );
-        let (deadline, raw) = (now + time_left, raw_request(message));
+        let (deadline, raw) = (now + time_left, raw_request(&message, lease));
         Ok(Request { id, class, tenant, deadline, raw, correlation_id, respond_to })
     }
 }
@@ -96,7 +104,7 @@
 }
 
 /// Returns the bytes to forward: the method, path, query, end-to-end fields and body as received.
-fn raw_request(message: &CompleteMessage<RequestLine>) -> RawRequest {
+fn raw_request(message: &CompleteMessage<RequestLine>, lease: Option<MemoryLease>) -> RawRequest {
     let mut before = BytesMut::with_capacity(BEFORE_TIME_LEFT_CAPACITY_BYTES);
     let request_line = [message.method(), b" ", message.target(), b" HTTP/1.1\r\n"];
     for part in request_line.into_iter().chain([TIME_LEFT_MS.as_bytes(), b": "]) {
@@ -113,9 +121,14 @@
         after.extend_from_slice(format!("Content-Length: {}\r\n", message.body.len()).as_bytes());
     }
     after.extend_from_slice(b"\r\n");
+    if let Some(lease) = &lease {
+        lease.set_work(Work::Accepted);
+        lease.set_bytes(before.capacity() + after.capacity() + message.body.len());
+    }
     RawRequest {
         before_time_left: before.freeze(),
         after_time_left: after.freeze(),
         body: message.body.clone(),
+        lease: lease.map(Arc::new),
     }
 }
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -1,6 +1,6 @@
 //! Encoding of responses to clients: the final [`Response`] to a request, and the [`LocalResponse`] of the
 //! listener.
-use crate::events::Response;
+use crate::events::{Response, ServedResponse};
 use crate::http1::ParseError;
 use crate::protocol::LOAD_REPORT;
 use bytes::{Bytes, BytesMut};
@@ -67,7 +67,7 @@
     pub fn encode(self, keep_alive: bool) -> EncodedResponse {
         let text = |text: &'static str| Bytes::from_static(text.as_bytes());
         match self {
-            Response::Served(served) => {
+            Response::Served(ServedResponse { message: served, .. }) => {
                 let fields = |out: &mut BytesMut| served.fields.write_end_to_end(out, &[LOAD_REPORT], &[]);
                 EncodedResponse::new("200 OK", fields, served.body, keep_alive)
             }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -1,7 +1,7 @@
 //! The start of the gateway's tasks, and their graceful shutdown.
+use crate::budgets::{Budgets, ProcessLimits};
 use crate::config::Config;
 use crate::control::{self, ControlConfig};
-use crate::descriptors::Descriptors;
 use crate::discovery::{self, FollowConfig};
 use crate::endpoint_list::EndpointList;
 use crate::event_loop::{Dependencies, EventLoop};
@@ -101,15 +101,15 @@
         config: Config, control: Option<ControlConfig>, listener: TcpListener,
         discovery: DiscoveryAddressReceiver,
     ) -> Result<Self, ServeError> {
-        let Config { name, seed, max_sockets, cached_list, deployment, .. } = config;
+        let budgets = budgets(&config);
+        let Config { name, seed, cached_list, deployment, .. } = config;
         let address = listener.local_addr().map_err(ServeError::Listener)?;
         let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let (watch_requests, watch_request_queue) = watch_request_channel(&deployment);
         let (phase, phase_receiver) = watch::channel(ShutdownPhase::Serving);
         let (violations, lag) = (Violations::default(), LoopLag::default());
-        let descriptors = budgeted_descriptors(max_sockets);
-        let upstream = new_upstream(&deployment, events.clone(), descriptors.clone())
-            .with_violations(violations.clone());
+        let upstream =
+            new_upstream(&deployment, events.clone(), &budgets).with_violations(violations.clone());
         let longest_deadline = longest_deadline(&deployment);
         let list_source = ListSource::new(control, discovery, &deployment, &cached_list);
         let cached_list = list_source.initial_list(cached_list);
@@ -117,7 +117,7 @@
         let dependencies =
             Dependencies { upstream, watch_requests, violations: violations.clone(), lag: lag.clone() };
         let event_loop = EventLoop::new(deployment.clone(), seed, cached_list, dependencies)?;
-        let frontend = Frontend::new(deployment, events.clone(), phase_receiver, descriptors, lag.clone());
+        let frontend = Frontend::new(deployment, events.clone(), phase_receiver, budgets, lag.clone());
 
         let lag_monitor = tokio::spawn(lag.run());
         let event_loop = tokio::spawn(event_loop.run(event_queue));
@@ -186,14 +186,19 @@
     (watch_requests, watch_request_queue)
 }
 
-/// Returns the budget that client and upstream connections share, out of `max_sockets` descriptors.
-fn budgeted_descriptors(max_sockets: usize) -> Arc<Descriptors> {
-    Descriptors::new(max_sockets.saturating_sub(RESERVED_DESCRIPTORS + MAX_SPARE_CONNECTIONS))
+/// Returns the budgets that client and upstream connections share.
+fn budgets(config: &Config) -> Budgets {
+    Budgets::new(ProcessLimits {
+        descriptors: config.max_sockets.saturating_sub(RESERVED_DESCRIPTORS + MAX_SPARE_CONNECTIONS),
+        memory_bytes: config.max_memory_bytes,
+    })
 }
 
-fn new_upstream(deployment: &Deployment, events: EventSender, descriptors: Arc<Descriptors>) -> Upstream {
+fn new_upstream(deployment: &Deployment, events: EventSender, budgets: &Budgets) -> Upstream {
     let connect_timeout = Duration::from_secs_f64(deployment.connect_timeout_ms / 1000.0);
-    Upstream::new(events, descriptors, deployment.balancer.connection_idle_timeout_ms, connect_timeout)
+    let idle_timeout_ms = deployment.balancer.connection_idle_timeout_ms;
+    Upstream::new(events, budgets.descriptors.clone(), idle_timeout_ms, connect_timeout)
+        .with_memory(budgets.memory.clone())
 }
 
 fn longest_deadline(deployment: &Deployment) -> Duration {
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -15,6 +15,8 @@
 
 /// The delay before a read or write is retried that failed because the kernel lacked memory.
 const RETRY_DELAY: Duration = Duration::from_millis(5);
+/// The maximum number of bytes that one read discards.
+pub const DISCARD_READ_BYTES: usize = 16 * 1024;
 /// The maximum number of slices in one vectored write. A forwarded request has four parts.
 const MAX_SLICES: usize = 8;
 
@@ -61,6 +63,59 @@
     }
 }
 
+/// Waits for bytes from the peer and discards up to [`DISCARD_READ_BYTES`] of them. Returns the number of
+/// bytes, which is 0 once the peer has ended its sending side. Cancel safe.
+///
+/// # Errors
+/// Fails if the connection is broken.
+pub async fn discard(stream: &TcpStream) -> io::Result<usize> {
+    loop {
+        consume_budget().await;
+        stream.readable().await?;
+        match try_discard(stream) {
+            Err(e) if is_repeatable(&e) => {}
+            Err(e) if lacks_kernel_memory(&e) => sleep(RETRY_DELAY).await,
+            read => return read,
+        }
+    }
+}
+
+/// Discards bytes that have been received. The buffer is on the stack, so that a connection that waits for
+/// bytes to discard holds no buffer.
+fn try_discard(stream: &TcpStream) -> io::Result<usize> {
+    stream.try_read(&mut [0; DISCARD_READ_BYTES])
+}
+
+/// The result of a read that does not wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReceivedNow {
+    /// Bytes had been received.
+    Bytes(usize),
+    /// The connection is open, and nothing had been received.
+    Nothing,
+    /// The peer has ended its sending side, or the connection is broken.
+    Ended,
+}
+
+fn received_now(mut read: impl FnMut() -> io::Result<usize>) -> ReceivedNow {
+    loop {
+        match read() {
+            Ok(0) => return ReceivedNow::Ended,
+            Ok(bytes) => return ReceivedNow::Bytes(bytes),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock || lacks_kernel_memory(&e) => {
+                return ReceivedNow::Nothing;
+            }
+            Err(_) => return ReceivedNow::Ended,
+        }
+    }
+}
+
+/// Discards up to [`DISCARD_READ_BYTES`] that have been received, without waiting.
+pub fn discard_now(stream: &TcpStream) -> ReceivedNow {
+    received_now(|| try_discard(stream))
+}
+
 /// Writes all of `bytes`. If the write is cancelled or fails, `bytes` is advanced past the part that has been
 /// written.
 ///
--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -28,10 +28,10 @@
     };
     loop {
         let mut reader = Reader::new(MAX_BODY_BYTES);
-        let end = exchange(&upstream.violations, &stream, &mut reader, &mut attempt, decided_at).await;
+        let end = exchange(&upstream, &stream, &mut reader, &mut attempt, decided_at).await;
         // A connection is not reused for an endpoint that has moved, restarted or stopped serving.
         let is_same_incarnation = attempt.is_endpoint_in_service();
-        let keep_alive = end.response.as_ref().is_some_and(|response| response.keep_alive);
+        let keep_alive = end.response.as_ref().is_some_and(|response| response.message.keep_alive);
         if !(is_same_incarnation && keep_alive && reader.is_idle()) {
             let (endpoint_id, outcome) = (attempt.endpoint.0, end.outcome);
             debug!(endpoint_id, ?outcome, is_same_incarnation, "closing connection to endpoint");
--- a/gateway/src/upstream/exchange.rs
+++ b/gateway/src/upstream/exchange.rs
@@ -1,22 +1,25 @@
 //! One attempt on an open connection: sends the request, receives the response, and determines the outcome.
 use super::attempt::{Attempt, Cancellation, Purpose};
-use super::ExchangeEnd;
-use crate::events::RawRequest;
+use super::{ExchangeEnd, Upstream};
+use crate::events::{RawRequest, ServedResponse};
 use crate::http1::{CompleteMessage, Reader, StatusLine};
 use crate::invariants::{Invariant, Violations};
 use crate::loop_lag::catch_up;
+use crate::memory::{Memory, MemoryLease};
+use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::permit::{Denial, FirstByte};
 use crate::protocol::{UNPROCESSED, UNPROCESSED_VALUE};
 use crate::sockets;
 use bytes::{Buf, Bytes};
 use std::io;
+use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::Outcome;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
 use tokio::time::{sleep_until, timeout, Instant};
-use tracing::debug;
+use tracing::{debug, info};
 
 /// The longest pause between two reads of a response. A response that pauses for longer counts as malformed,
 /// because it is shorter than the length that it states.
@@ -30,7 +33,7 @@
 /// Sends an attempt and waits for the response, until the attempt is given up or cancelled. `decided_at` is
 /// the time of the decision to send the attempt.
 pub(super) async fn exchange(
-    violations: &Violations, stream: &TcpStream, reader: &mut Reader<StatusLine>, attempt: &mut Attempt,
+    upstream: &Upstream, stream: &TcpStream, reader: &mut Reader<StatusLine>, attempt: &mut Attempt,
     decided_at: Instant,
 ) -> ExchangeEnd {
     // A client disconnect or an endpoint drain that would deny the attempt may still be unread after a slow
@@ -40,13 +43,13 @@
         debug!(purpose = ?attempt.purpose, ?denial, "attempt not sent");
         return Outcome::NotSent.into();
     }
-    if let Err(outcome) = send(violations, stream, attempt).await {
+    if let Err(outcome) = send(&upstream.violations, stream, attempt).await {
         return outcome.into();
     }
     tokio::select! {
         biased;
         () = cancelled_after_send(&mut attempt.cancelled) => Outcome::Cancelled.into(),
-        end = receive(stream, reader) => end,
+        end = receive(&upstream.memory, stream, reader) => end,
         () = sleep_until(attempt.give_up_at) => Outcome::ResponseTimeout.into(),
     }
 }
@@ -110,18 +113,33 @@
 }
 
 /// Receives the response to an attempt. A malformed response, or one that pauses for longer than
-/// [`MAX_RESPONSE_GAP`], is a `ServerError`, because the endpoint may have run the request.
-async fn receive(stream: &TcpStream, reader: &mut Reader<StatusLine>) -> ExchangeEnd {
+/// [`MAX_RESPONSE_GAP`], is a `ServerError`, because the endpoint may have run the request. The same holds for
+/// a response that is larger than the whole memory budget.
+async fn receive(memory: &Arc<Memory>, stream: &TcpStream, reader: &mut Reader<StatusLine>) -> ExchangeEnd {
     let mut is_closed = false;
+    let mut lease: Option<MemoryLease> = None;
     loop {
         match reader.next(is_closed) {
-            Ok(Some(response)) => {
-                return ExchangeEnd { outcome: outcome(&response), response: Some(response) };
+            Ok(Some(message)) => {
+                if let Some(lease) = &lease {
+                    lease.set_bytes(message.memory_bytes());
+                }
+                let outcome = outcome(&message);
+                return ExchangeEnd { outcome, response: Some(ServedResponse { message, lease }) };
             }
             Ok(None) if is_closed => return Outcome::ConnectionLost.into(),
             Ok(None) => {}
             Err(_) => return Outcome::ServerError.into(),
         }
+        if reader.memory_bytes() > SMALL_MESSAGE_BYTES {
+            // All at once, so that two responses that are received in part do not wait for each other.
+            let bytes = reader.memory_bytes().max(reader.max_memory_bytes());
+            let lease = lease.get_or_insert_with(|| memory.lease(Work::Accepted));
+            if lease.reserve(bytes).await.is_err() {
+                info!(bytes, "response does not fit into the memory budget");
+                return Outcome::ServerError.into();
+            }
+        }
         let has_begun = reader.has_begun();
         let read = sockets::read(stream, reader.buffer());
         match timeout(if has_begun { MAX_RESPONSE_GAP } else { Duration::MAX }, read).await {
--- a/gateway/src/upstream/mod.rs
+++ b/gateway/src/upstream/mod.rs
@@ -12,9 +12,9 @@
 pub use load_report::parse_load_report;
 
 use crate::descriptors::Descriptors;
-use crate::events::{AttemptResult, EventSender, GatewayEvent};
-use crate::http1::{CompleteMessage, StatusLine};
+use crate::events::{AttemptResult, EventSender, GatewayEvent, ServedResponse};
 use crate::invariants::Violations;
+use crate::memory::Memory;
 use crate::protocol::LOAD_REPORT;
 use pool::Pool;
 use std::sync::Arc;
@@ -32,7 +32,7 @@
 #[derive(Debug)]
 struct ExchangeEnd {
     outcome: Outcome,
-    response: Option<CompleteMessage<StatusLine>>,
+    response: Option<ServedResponse>,
 }
 
 impl From<Outcome> for ExchangeEnd {
@@ -47,6 +47,7 @@
     pool: Arc<Pool>,
     events: EventSender,
     descriptors: Arc<Descriptors>,
+    memory: Arc<Memory>,
     violations: Violations,
     idle_timeout: Duration,
     connect_timeout: Duration,
@@ -62,8 +63,21 @@
     ) -> Self {
         let idle_timeout_s = (endpoint_idle_timeout_ms * IDLE_TIMEOUT_RATIO / 1000.0).min(MAX_IDLE_TIMEOUT_S);
         let idle_timeout = Duration::from_secs_f64(idle_timeout_s);
-        let violations = Violations::default();
-        Upstream { pool: Arc::default(), events, descriptors, violations, idle_timeout, connect_timeout }
+        Upstream {
+            pool: Arc::default(),
+            events,
+            descriptors,
+            memory: Memory::new(usize::MAX),
+            violations: Violations::default(),
+            idle_timeout,
+            connect_timeout,
+        }
+    }
+
+    /// Reserves the memory of large responses in `memory`, which has no bound by default.
+    pub fn with_memory(mut self, memory: Arc<Memory>) -> Self {
+        self.memory = memory;
+        self
     }
 
     /// Counts violated invariants in `violations`.
@@ -106,8 +120,8 @@
     async fn report_end(&self, attempt: &Attempt, end: ExchangeEnd) {
         let ExchangeEnd { outcome, response } = end;
         let report_text = response.as_ref().map(|response| match attempt.purpose {
-            Purpose::Request { .. } => response.fields.text(LOAD_REPORT).unwrap_or(""),
-            Purpose::HealthCheck => std::str::from_utf8(&response.body).unwrap_or(""),
+            Purpose::Request { .. } => response.message.fields.text(LOAD_REPORT).unwrap_or(""),
+            Purpose::HealthCheck => std::str::from_utf8(&response.message.body).unwrap_or(""),
         });
         let report = report_text.map(parse_load_report).unwrap_or_default();
         let event = match attempt.purpose {
--- a/gateway/tests/attempts.rs
+++ b/gateway/tests/attempts.rs
@@ -40,6 +40,7 @@
             ),
             after_time_left: Bytes::from(format!("\r\nContent-Length: {body_bytes}\r\n\r\n")),
             body: Bytes::from(vec![b'x'; body_bytes]),
+            lease: None,
         };
         let (endpoint, incarnation) =
             (EndpointId(u32::from(address.port())), Arc::downgrade(&self.incarnation));
@@ -221,7 +222,10 @@
         next_connection.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother").await;
         match timeout(TEST_TIMEOUT, harness.events.recv()).await.expect("the attempt ends") {
             Some(GatewayEvent::AttemptEnded(result)) => {
-                assert_eq!(&result.response.expect("a served attempt has a response").body[..], b"other")
+                assert_eq!(
+                    &result.response.expect("a served attempt has a response").message.body[..],
+                    b"other"
+                )
             }
             other => panic!("{other:?}"),
         }
--- a/gateway/tests/config.rs
+++ b/gateway/tests/config.rs
@@ -26,6 +26,9 @@
         ("/discovery", json!(7), "discovery"),
         ("/seed", json!("xyz"), "seed"),
         ("/limits/sockets", json!(3), "limits.sockets"),
+        ("/limits/memory_mb", json!(0), "limits.memory_mb"),
+        ("/limits/memory_mb", json!(-32), "limits.memory_mb"),
+        ("/limits/memory_mb", json!("32"), "limits.memory_mb"),
         ("/known/targets/0/state", json!("NAPPING"), "known"),
         ("/known/targets/0/endpoint", Value::Null, "endpoint"),
         ("/settings/classes", json!([]), "classes"),
@@ -63,6 +66,19 @@
         .contains("me must be below instances"));
 }
 
+#[test]
+fn a_missing_memory_limit_is_the_least_of_the_platform_and_an_absurdly_large_one_is_bounded() {
+    let memory_bytes = |memory_mb: Value| {
+        let mut config = gateway_config(vec![], ([127, 0, 0, 1], 9).into());
+        config["limits"]["memory_mb"] = memory_mb;
+        Config::read(&config.to_string(), |_| None).expect("the configuration is valid").max_memory_bytes
+    };
+    assert_eq!(memory_bytes(json!(192)), 192_000_000);
+    assert_eq!(memory_bytes(json!(32.5)), 32_500_000);
+    assert_eq!(memory_bytes(Value::Null), 32_000_000);
+    assert_eq!(memory_bytes(json!(u64::MAX)), 1_000_000_000_000);
+}
+
 #[test]
 fn a_reread_configuration_file_takes_precedence_over_the_environment_variable() {
     let text = gateway_config(vec![], ([127, 0, 0, 1], 9).into()).to_string();
--- a/gateway/tests/same_bytes.rs
+++ b/gateway/tests/same_bytes.rs
@@ -381,7 +381,7 @@
             reader.buffer().extend_from_slice(text.as_bytes());
             let served =
                 reader.next(true).expect("the response is well-formed").expect("the response is complete");
-            record(format!("served {n} {keep_alive}"), Response::Served(served).encode(keep_alive));
+            record(format!("served {n} {keep_alive}"), Response::Served(served.into()).encode(keep_alive));
         }
         for retry_after_ms in [0.0, 0.4, 0.5, 1.0, 999.999, 1234.5, 2000.0, 86_400_000.0] {
             let rejected = Response::Rejected { retry_after_ms };
--- a/gateway/tests/upstream.rs
+++ b/gateway/tests/upstream.rs
@@ -51,6 +51,7 @@
             ),
             after_time_left: Bytes::from_static(b"\r\n\r\n"),
             body: Bytes::new(),
+            lease: None,
         };
         let purpose = Purpose::Request { id: RequestId(7), attempt: self.next_attempt };
         let give_up_at = Instant::now() + time_limit;
