Read what a client has sent behind its request before forwarding it

Cause: the end of a connection stands behind the bytes that were sent before it, and the gateway forwarded a request as soon as that one was complete; a close behind many unread bytes, or behind requests that were answered at once, was read much later. Class: check and act apart in time.

--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -120,6 +120,32 @@
         }
     }
 
+    /// Reads what the kernel has received behind a request. Returns false if the client has disconnected, in
+    /// the sense of [`ClientInput::disconnected`].
+    ///
+    /// A client may have closed its connection behind bytes that have not been read, and its request must not
+    /// be forwarded then.
+    pub(super) async fn is_connected(&mut self) -> bool {
+        while self.reader.unparsed_bytes() < MAX_READ_AHEAD_BYTES {
+            match sockets::read_now(&self.stream, self.reader.buffer()) {
+                ReceivedNow::Nothing => return true,
+                ReceivedNow::Ended => return false,
+                ReceivedNow::Bytes(_) => self.set_waiting(),
+            }
+        }
+        let mut discarded_bytes = 0;
+        while discarded_bytes < MAX_DISCARDED_BYTES {
+            // The kernel may receive more as soon as bytes have been read.
+            sleep(DISCARD_PAUSE).await;
+            match self.discard_batch() {
+                (0, has_ended) => return !has_ended,
+                (_, true) => return false,
+                (bytes, false) => discarded_bytes += bytes,
+            }
+        }
+        false
+    }
+
     /// Discards a batch of received bytes without waiting. Returns their number, and whether the client has
     /// ended its sending side.
     fn discard_batch(&self) -> (usize, bool) {
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -271,6 +271,9 @@
             return Ok(rejected).into();
         }
         let id = request.id;
+        if !self.input.is_connected().await {
+            return RequestResult { response: Ok(rejected), client_disconnected: true };
+        }
         let events = &self.frontend.events;
         tokio::select! {
             biased;
--- a/gateway/src/sockets.rs
+++ b/gateway/src/sockets.rs
@@ -111,6 +111,11 @@
     }
 }
 
+/// Appends bytes that have been received to `buffer`, without waiting.
+pub fn read_now(stream: &TcpStream, buffer: &mut BytesMut) -> ReceivedNow {
+    received_now(|| stream.try_read_buf(buffer))
+}
+
 /// Discards up to [`DISCARD_READ_BYTES`] that have been received, without waiting.
 pub fn discard_now(stream: &TcpStream) -> ReceivedNow {
     received_now(|| try_discard(stream))
