Bound the processor time of one flooding client connection

Cause: a connection's task was resumed as often as its bytes arrived; nothing bounded the share of the one core that it took. Class: as with memory, a resource bounded for each step and not for the process.

`work_budget.rs`, without I/O or clock, charges each connection for requests and reads at fixed costs. A burst of 6.4 ms is free; beyond it a connection is heavy, and the heavy connections together get 5% of `limits.cores` (default 1; an absurd value is an error that names the key). A heavy connection pauses before it reads on. Reads behind an open request and after the last response pause each time.

--- a/fault-tests/src/hostile/mod.rs
+++ b/fault-tests/src/hostile/mod.rs
@@ -1,5 +1,6 @@
 //! Hostile clients: one real gateway process under many clients of one kind, beside ordinary clients. The
 //! peak of the process's resident memory and the ordinary clients' responses are measured.
+mod cpu_quota;
 pub mod kind;
 mod options;
 pub mod ordinary;
@@ -10,6 +11,7 @@
 
 use crate::error::{Error, ProcessError};
 use crate::process::{Launch, Process};
+use cpu_quota::CpuQuota;
 use kind::{HostileClient, HostileKind};
 use ordinary::{probe_readiness, send_requests, OrdinaryResults, SharedResults, CLIENT_TIMEOUT};
 use serde_json::{json, Value};
@@ -83,6 +85,8 @@
     pub response_bytes: usize,
     /// How long the attack lasts.
     pub duration: Duration,
+    /// The share of a processor core that the gateway gets; `None` without a quota.
+    pub cpu_share: Option<f64>,
 }
 
 /// The result of a run.
@@ -123,6 +127,8 @@
     let config = gateway_config(&plan, &hosts);
     let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
     let mut gateway = Process::start(launch, folder.path(), "g0", listen, &config).await?;
+    let quota = plan.cpu_share.zip(gateway.id());
+    let quota = quota.map(|(share, id)| CpuQuota::enforce(id, share));
     let results = SharedResults::default();
     let until = Instant::now() + WARM_UP + plan.duration;
     let mut ordinary = JoinSet::new();
@@ -148,6 +154,7 @@
     attack.shutdown().await;
     while ordinary.join_next().await.is_some() {}
     let log = gateway.log();
+    drop(quota);
     let _ = gateway.kill().await;
     let ordinary = results.lock().unwrap_or_else(PoisonError::into_inner).clone();
     Ok(Outcome { plan, idle_kib, peak_kib, ordinary, ended_by_itself, log })
@@ -223,6 +230,7 @@
     json!({
         // Nothing listens at port 9, so that the gateway keeps its cached list.
         "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": 7,
+        // The gateway is not told of a quota, as if the core were shared with other processes.
         "limits": {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.sockets},
         "known": {"rev": 40, "all": true, "targets": targets},
         "settings": {
--- a/fault-tests/src/hostile/options.rs
+++ b/fault-tests/src/hostile/options.rs
@@ -28,6 +28,9 @@
     /// Length of an attack, in seconds.
     #[arg(long, default_value_t = 6)]
     seconds: u64,
+    /// Share of a processor core that the gateway gets; without it there is no quota.
+    #[arg(long)]
+    cpu_share: Option<f64>,
     /// Path of the gateway program; this program itself if none is given.
     #[arg(long)]
     pub program: Option<PathBuf>,
@@ -51,6 +54,7 @@
                         clients: self.clients,
                         response_bytes: self.response_bytes,
                         duration: Duration::from_secs(self.seconds),
+                        cpu_share: self.cpu_share,
                     }));
                 }
             }
--- a/fault-tests/tests/hostile.rs
+++ b/fault-tests/tests/hostile.rs
@@ -21,6 +21,7 @@
         clients: 900,
         response_bytes: 60 * 1024,
         duration: Duration::from_secs(3),
+        cpu_share: None,
     }
 }
 
--- a/gateway/src/budgets.rs
+++ b/gateway/src/budgets.rs
@@ -1,8 +1,10 @@
-//! The budgets that bound what the gateway's peers take: descriptors and memory.
+//! The budgets that bound what the gateway's peers take: descriptors, memory and processor time.
 use crate::descriptors::Descriptors;
 use crate::memory::Memory;
 use crate::memory_budget::MemoryPlan;
-use std::sync::Arc;
+use crate::work_budget::{ConnectionId, WorkBudget, WorkMeter};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::time::Instant;
 
 /// The limits of the process, from the configuration.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -11,6 +13,8 @@
     pub descriptors: usize,
     /// The memory limit of the process, in bytes.
     pub memory_bytes: u64,
+    /// The share of one processor core that the process may use, up to 1.
+    pub cores: f64,
 }
 
 /// The budgets, shared by the gateway's tasks.
@@ -20,6 +24,8 @@
     pub descriptors: Arc<Descriptors>,
     /// The memory of large messages.
     pub memory: Arc<Memory>,
+    start: Instant,
+    work: Arc<Mutex<WorkBudget>>,
 }
 
 impl Budgets {
@@ -30,6 +36,23 @@
         Budgets {
             descriptors: Descriptors::new(plan.max_connections),
             memory: Memory::new(plan.reservable_bytes),
+            start: Instant::now(),
+            work: Arc::new(Mutex::new(WorkBudget::new(limits.cores))),
         }
     }
+
+    /// Charges a client connection for work. Returns how long the connection must pause, in milliseconds.
+    pub fn charge(&self, id: ConnectionId, meter: &mut WorkMeter, cost_us: f64) -> f64 {
+        let now_ms = self.start.elapsed().as_secs_f64() * 1000.0;
+        self.work().charge(id, meter, cost_us, now_ms)
+    }
+
+    /// Forgets the work of a client connection that has ended.
+    pub fn remove_connection(&self, id: ConnectionId) {
+        self.work().remove(id);
+    }
+
+    fn work(&self) -> MutexGuard<'_, WorkBudget> {
+        self.work.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -27,6 +27,9 @@
 /// The number of bytes in a megabyte of `limits.memory_mb`. The smaller of the two usual meanings, because a
 /// process beyond its limit is killed.
 const BYTES_PER_MB: f64 = 1e6;
+/// The share of a processor core if the file has no `limits.cores`. The gateway runs on one thread, so that it
+/// cannot use more.
+const MAX_CORES: f64 = 1.0;
 /// The gateway's name in log lines if neither `LB_NAME` nor the file gives one.
 const DEFAULT_NAME: &str = "gateway";
 
@@ -45,6 +48,8 @@
     pub max_sockets: usize,
     /// The memory limit of the process, in bytes.
     pub max_memory_bytes: u64,
+    /// The share of a processor core that the process may use, up to 1.
+    pub cores: f64,
     /// The endpoint list that the balancer uses until discovery has responded.
     pub cached_list: EndpointList,
     /// The parsed settings of the file: classes, tenants, zones and limits.
@@ -99,6 +104,9 @@
     /// The file's `limits.memory_mb` is malformed or too small.
     #[error("LB_CONFIG: limits.memory_mb: expected a number of at least {MIN_MEMORY_MB}")]
     Memory,
+    /// The file's `limits.cores` is malformed or not positive.
+    #[error("LB_CONFIG: limits.cores: expected a number greater than 0")]
+    Cores,
     /// The file's `seed` is malformed.
     #[error("LB_CONFIG: seed: expected 16 hexadecimal digits or a whole number")]
     Seed,
@@ -174,6 +182,7 @@
             }
         };
         let max_memory_bytes = (memory_mb(&file)? * BYTES_PER_MB) as u64;
+        let cores = cores(&file)?;
         let cached_list = match file.get("known") {
             None | Some(Value::Null) => EndpointList::default(),
             Some(value) => EndpointList::from_value(value)?,
@@ -191,6 +200,7 @@
             seed: parse_seed(file.get("seed"))?,
             max_sockets: usize::try_from(max_sockets).unwrap_or(usize::MAX),
             max_memory_bytes,
+            cores,
             cached_list,
             deployment: Deployment::from_json(settings)?,
             log_level,
@@ -241,6 +251,17 @@
     }
 }
 
+/// Returns the share of a processor core that the file gives the gateway.
+fn cores(file: &Value) -> Result<f64, ConfigError> {
+    match file.pointer("/limits/cores") {
+        None | Some(Value::Null) => Ok(MAX_CORES),
+        Some(value) => {
+            let cores = value.as_f64().filter(|cores| *cores > 0.0).ok_or(ConfigError::Cores)?;
+            Ok(cores.min(MAX_CORES))
+        }
+    }
+}
+
 /// Parses the seed, which is a string of 16 hexadecimal digits or a whole number.
 fn parse_seed(value: Option<&Value>) -> Result<u64, ConfigError> {
     let seed = match value {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`Balancer`](ternstack_balancer::Balancer). The event loop sends attempts through [`upstream`] and gives
 //! the response back to the listener, which encodes it ([`response`]). [`discovery`] or [`control`] supplies
 //! the endpoint list ([`endpoint_list`]), and `permit` decides whether an attempt may begin. [`budget`] limits
-//! the open connections, and [`memory_budget`] the bytes that are held for peers. `protocol` holds the platform's header names and paths, and [`http1`] parses
+//! the open connections, [`memory_budget`] the bytes that are held for peers, and [`work_budget`] the
+//! processor time of each client connection. `protocol` holds the platform's header names and paths, and [`http1`] parses
 //! and frames HTTP/1.1 messages. [`program`] runs the gateway as a process.
 //!
 //! A module is public only if tests or other packages use it.
@@ -37,5 +38,6 @@
 mod serve;
 pub mod sockets;
 pub mod upstream;
+pub mod work_budget;
 
 pub use serve::{serve, serve_with_control, ServeError};
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -1,10 +1,12 @@
 //! Reading from a client connection: the next request, and a disconnect while a request is open.
+use super::pacing::Pacer;
 use super::{ConnectionGuard, Frontend};
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
 use crate::memory::{MemoryExhausted, MemoryLease};
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::protocol::CONTINUE;
 use crate::sockets::{self, ReceivedNow};
+use crate::work_budget::{READ_COST_US, REQUEST_COST_US};
 use std::future::pending;
 use std::io;
 use std::time::Duration;
@@ -20,8 +22,8 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// The number of bytes that are discarded between two pauses.
 const DISCARD_BATCH_BYTES: usize = 64 * 1024;
-/// The pause after each batch of discarded bytes, so that a flooding client does not starve other clients.
-const DISCARD_PAUSE: Duration = Duration::from_millis(1);
+/// The pause after each read behind an open request, so that a flooding client does not starve other clients.
+const READ_AHEAD_PAUSE: Duration = Duration::from_millis(1);
 
 /// The reason why no request could be read.
 #[derive(Debug, Error)]
@@ -56,6 +58,7 @@
     pub(super) waiting_since: Option<Instant>,
     /// The memory of the incomplete request, if it is large.
     lease: Option<MemoryLease>,
+    pacer: Pacer,
 }
 
 impl<'a> ClientInput<'a> {
@@ -67,6 +70,7 @@
             reader: Reader::new(MAX_BODY_BYTES),
             waiting_since: Some(arrived_at),
             lease: None,
+            pacer: Pacer::new(guard.id),
         }
     }
 
@@ -83,7 +87,9 @@
         // The waiting time applies only if the request is complete without a further read.
         let mut arrived_at = self.waiting_since.take();
         loop {
+            self.pacer.pause().await;
             if let Some(message) = self.reader.next(false)? {
+                self.pacer.charge(self.frontend, REQUEST_COST_US);
                 let arrived_at = arrived_at.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
                 self.waiting_since = (!self.reader.is_idle()).then_some(arrived_at);
                 return Ok(Some(ArrivedRequest { message, arrived_at, lease: self.lease.take() }));
@@ -95,6 +101,7 @@
             if self.read().await? == 0 {
                 return Ok(None);
             }
+            self.pacer.charge(self.frontend, READ_COST_US);
             arrived_at = None;
         }
     }
@@ -136,7 +143,7 @@
         let mut discarded_bytes = 0;
         while discarded_bytes < MAX_DISCARDED_BYTES {
             // The kernel may receive more as soon as bytes have been read.
-            sleep(DISCARD_PAUSE).await;
+            sleep(READ_AHEAD_PAUSE).await;
             match self.discard_batch() {
                 (0, has_ended) => return !has_ended,
                 (_, true) => return false,
@@ -168,6 +175,7 @@
                 Ok(0) | Err(_) => return,
                 Ok(_) => self.set_waiting(),
             }
+            sleep(READ_AHEAD_PAUSE).await;
         }
         let mut discarded_bytes = 0;
         while discarded_bytes < MAX_DISCARDED_BYTES {
@@ -177,7 +185,7 @@
                 return;
             }
             discarded_bytes += read_bytes + batch_bytes;
-            sleep(DISCARD_PAUSE).await;
+            sleep(READ_AHEAD_PAUSE).await;
         }
     }
 
--- a/gateway/src/listener/close.rs
+++ b/gateway/src/listener/close.rs
@@ -1,6 +1,6 @@
 //! Closing of client connections without a TCP reset, which could destroy a response before the client has
 //! read it.
-use crate::sockets::{self, DISCARD_READ_BYTES};
+use crate::sockets;
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -9,10 +9,7 @@
 
 /// How long the gateway still reads from a client after the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// A read of this size is followed by [`LINGER_PAUSE`], so that a flooding client does not starve
-/// other clients.
-const LARGE_READ_BYTES: usize = DISCARD_READ_BYTES;
-/// The pause after a read of at least [`LARGE_READ_BYTES`].
+/// The pause after each read, so that a flooding client does not starve other clients.
 const LINGER_PAUSE: Duration = Duration::from_millis(1);
 
 /// Ends the sending side of a connection, and reads and discards bytes until the client closes the connection
@@ -25,8 +22,7 @@
     // read.
     while Instant::now() < linger_until {
         match timeout_at(linger_until, sockets::discard(stream)).await {
-            Ok(Ok(read_bytes)) if read_bytes >= LARGE_READ_BYTES => sleep(LINGER_PAUSE).await,
-            Ok(Ok(read_bytes)) if read_bytes > 0 => {}
+            Ok(Ok(read_bytes)) if read_bytes > 0 => sleep(LINGER_PAUSE).await,
             _ => return Ok(()),
         }
     }
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -13,6 +13,7 @@
 use crate::protocol::{API_PATH, READINESS_PATH};
 use crate::response::{EncodedResponse, LocalResponse};
 use crate::sockets;
+use crate::work_budget::ConnectionId;
 use bytes::Buf;
 use std::future::pending;
 use std::io;
@@ -89,7 +90,7 @@
     frontend: &'a Frontend,
     slot: ClientSlot,
     input: ClientInput<'a>,
-    connection_id: u64,
+    connection_id: ConnectionId,
     /// A complete request that the client sent before the response to the preceding one, on a connection that
     /// must close.
     pipelined: Option<CompleteMessage<RequestLine>>,
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -5,6 +5,7 @@
 mod client;
 mod close;
 mod connection;
+mod pacing;
 mod request;
 
 use crate::budgets::Budgets;
@@ -13,6 +14,7 @@
 use crate::descriptors::Descriptor;
 use crate::events::EventSender;
 use crate::loop_lag::LoopLag;
+use crate::work_budget::ConnectionId;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,7 +67,7 @@
 /// A guard that counts a client connection from its accept until the guard is dropped.
 struct ConnectionGuard {
     frontend: Arc<Frontend>,
-    id: u64,
+    id: ConnectionId,
 }
 
 impl ConnectionGuard {
@@ -78,6 +80,7 @@
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
+        self.frontend.budgets.remove_connection(self.id);
         self.frontend.connection_count.fetch_sub(1, Ordering::Relaxed);
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -191,6 +191,7 @@
     Budgets::new(ProcessLimits {
         descriptors: config.max_sockets.saturating_sub(RESERVED_DESCRIPTORS + MAX_SPARE_CONNECTIONS),
         memory_bytes: config.max_memory_bytes,
+        cores: config.cores,
     })
 }
 
--- a/gateway/tests/client_connections.rs
+++ b/gateway/tests/client_connections.rs
@@ -4,7 +4,7 @@
 use common::*;
 use serde_json::json;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::time::{sleep, timeout};
 
 #[tokio::test]
@@ -206,3 +206,30 @@
         "forwarded {forwarded_time_left_ms} ms of {timeout_ms} ms, half a second later"
     );
 }
+
+// Guards against one flooding connection that takes the processor from the requests of other clients.
+#[tokio::test]
+async fn a_flooding_connection_is_served_at_most_its_share() {
+    const BURST_RESPONSES: u128 = 200;
+    // 5% of a core at 50 microseconds for each request.
+    const MAX_RESPONSES_PER_MS: u128 = 1;
+    let gateway = Gateway::start(&gateway_config(vec![], ([127, 0, 0, 1], 9).into())).await;
+    let begun_at = std::time::Instant::now();
+    let (mut responses, mut requests) = gateway.client().await.stream.into_split();
+    let flood = tokio::spawn(async move {
+        let batch = "GET /none HTTP/1.1\r\n\r\n".repeat(100);
+        while requests.write_all(batch.as_bytes()).await.is_ok() {}
+    });
+    let (mut received, mut buffer) = (Vec::new(), vec![0; 64 * 1024]);
+    while begun_at.elapsed() < Duration::from_millis(1500) {
+        let read = timeout(Duration::from_millis(1500), responses.read(&mut buffer)).await;
+        let read_bytes = read.expect("the gateway responds").expect("the connection is open");
+        received.extend_from_slice(&buffer[..read_bytes]);
+    }
+    let elapsed_ms = begun_at.elapsed().as_millis();
+    flood.abort();
+    let count = String::from_utf8_lossy(&received).matches("HTTP/1.1 404").count() as u128;
+    let max_count = BURST_RESPONSES + elapsed_ms * MAX_RESPONSES_PER_MS;
+    assert!(count <= max_count, "{count} responses in {elapsed_ms} ms, at most {max_count}");
+    assert!(count > BURST_RESPONSES / 2, "a burst is served at once: {count} responses");
+}
--- a/gateway/tests/config.rs
+++ b/gateway/tests/config.rs
@@ -29,6 +29,8 @@
         ("/limits/memory_mb", json!(0), "limits.memory_mb"),
         ("/limits/memory_mb", json!(-32), "limits.memory_mb"),
         ("/limits/memory_mb", json!("32"), "limits.memory_mb"),
+        ("/limits/cores", json!(0), "limits.cores"),
+        ("/limits/cores", json!("all"), "limits.cores"),
         ("/known/targets/0/state", json!("NAPPING"), "known"),
         ("/known/targets/0/endpoint", Value::Null, "endpoint"),
         ("/settings/classes", json!([]), "classes"),
