Draw the memory of endpoint lists on the memory budget

A list over 256 KiB now reserves its buffer as accepted work, which evicts unfinished requests and waits within the poll's deadline; the endpoints' tables take 2 KiB and twice the name for each endpoint off the budget. Small lists never wait. The tests of discovery pass, among them lists of 1,500 endpoints with long names.

--- a/gateway/src/discovery/connection.rs
+++ b/gateway/src/discovery/connection.rs
@@ -1,14 +1,19 @@
 //! The connection to discovery, and the descriptor that is reserved for the connection.
 use super::WatchError;
 use crate::http1::{CompleteMessage, Reader, StatusLine};
+use crate::memory::{Memory, MemoryLease};
+use crate::memory_budget::Work;
 use crate::sockets::{self, has_no_route, is_local, socket, with_nodelay};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout_at, Instant};
 use tracing::debug;
 
+/// A list up to this size reserves nothing in the memory budget, so that it never waits for memory.
+const SMALL_LIST_BYTES: usize = 256 * 1024;
 /// The delay before a connection attempt is repeated that failed because of this machine.
 const LOCAL_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -19,17 +24,21 @@
     connect_timeout: Duration,
     stream: Option<TcpStream>,
     reserved: Option<TcpSocket>,
+    /// The memory of a large response while it is received.
+    lease: MemoryLease,
 }
 
 impl DiscoveryConnection {
-    pub(super) fn new(connect_timeout: Duration) -> Self {
-        DiscoveryConnection { connect_timeout, stream: None, reserved: None }
+    pub(super) fn new(connect_timeout: Duration, memory: &Arc<Memory>) -> Self {
+        let lease = memory.lease(Work::Accepted);
+        DiscoveryConnection { connect_timeout, stream: None, reserved: None, lease }
     }
 
-    /// Closes the connection and reserves its descriptor by opening an unconnected socket. No other task can
+    /// Closes the connection, releases its memory, and reserves its descriptor by opening an unconnected socket. No other task can
     /// take the descriptor, because none runs in between.
     pub(super) fn reserve(&mut self, address: SocketAddr) {
         self.stream = None;
+        self.lease.set_bytes(0);
         self.reserved = self.reserved.take().or_else(|| socket(address).ok());
     }
 
@@ -76,10 +85,16 @@
         let mut is_closed = false;
         loop {
             match reader.next(is_closed)? {
-                Some(response) => return Ok(response),
+                Some(response) => {
+                    self.lease.set_bytes(0);
+                    return Ok(response);
+                }
                 None if is_closed => return Err(WatchError::Closed),
                 None => {}
             }
+            if reader.memory_bytes() > SMALL_LIST_BYTES {
+                self.lease.reserve(reader.memory_bytes().max(reader.max_memory_bytes())).await?;
+            }
             let read_bytes = sockets::read(stream, reader.buffer()).await.map_err(WatchError::Receive)?;
             is_closed = read_bytes == 0;
         }
--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -7,10 +7,12 @@
 use crate::endpoint_list::{EndpointList, EndpointListError};
 use crate::events::{DiscoveryAddressReceiver, DiscoveryEvent, EventSender, GatewayEvent};
 use crate::http1::{ParseError, Reader, StatusLine};
+use crate::memory::{Memory, MemoryExhausted};
 use crate::protocol::endpoints_target;
 use connection::DiscoveryConnection;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
 use timing::{PollTiming, EMPTY_POLL_DELAY, FIRST_POLL, NEXT_POLL};
@@ -44,6 +46,8 @@
     Status(u16),
     #[error("malformed endpoint list: {0}")]
     List(#[from] EndpointListError),
+    #[error("endpoint list: {0}")]
+    Memory(#[from] MemoryExhausted),
 }
 
 /// The configuration of a gateway's watches of discovery.
@@ -55,6 +59,8 @@
     pub revision: Option<u64>,
     /// How long this gateway waits before it renews a silent watch ([`renewal_delay`]).
     pub renewal_delay: Duration,
+    /// The budget in which the memory of large lists is reserved.
+    pub memory: Arc<Memory>,
 }
 
 /// Watches discovery, starting from `config.revision`. A watch begins when one is requested or when
@@ -64,7 +70,7 @@
     discovery: DiscoveryAddressReceiver, config: FollowConfig, requests: mpsc::Receiver<()>,
     events: EventSender,
 ) {
-    let mut connection = DiscoveryConnection::new(config.connect_timeout);
+    let mut connection = DiscoveryConnection::new(config.connect_timeout, &config.memory);
     connection.reserve(*discovery.borrow());
     let watcher = Watcher {
         discovery,
--- a/gateway/src/event_loop/endpoints.rs
+++ b/gateway/src/event_loop/endpoints.rs
@@ -8,6 +8,9 @@
 use ternstack_balancer::{EndpointId, EndpointRecord, Readiness, UpdateKind};
 use ternstack_settings::{stable_hash, NameTable};
 
+/// The memory of an endpoint in the tables of the event loop and of the balancer, without its name.
+const ENDPOINT_BYTES: usize = 2 << 10;
+
 /// An endpoint with the values of the last list that named it.
 struct ListedEndpoint {
     uid: String,
@@ -115,6 +118,11 @@
         }
     }
 
+    /// Returns the memory that the endpoints take, here and in the balancer.
+    pub(super) fn memory_bytes(&self) -> usize {
+        self.by_id.values().map(|listed| ENDPOINT_BYTES + 2 * listed.uid.len()).sum()
+    }
+
     /// Removes the endpoints that the balancer no longer knows, which bounds the size of the table.
     pub(super) fn retain(&mut self, is_known: impl Fn(EndpointId) -> bool) {
         self.by_id.retain(|endpoint, _| is_known(*endpoint));
--- a/gateway/src/event_loop/mod.rs
+++ b/gateway/src/event_loop/mod.rs
@@ -13,10 +13,13 @@
 use crate::events::{DiscoveryEvent, GatewayEvent, Request, Response};
 use crate::invariants::{Invariant, Violations};
 use crate::loop_lag::LoopLag;
+use crate::memory::{Memory, MemoryLease};
+use crate::memory_budget::Work;
 use crate::upstream::{Cancellation, Upstream};
 use endpoints::Endpoints;
 use open_requests::{OpenRequest, OpenRequests};
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::{
     Action, Arrival, Balancer, EndpointId, Event, RequestClass, RequestId, SettingsError, UpdateKind,
@@ -40,6 +43,8 @@
 pub struct Dependencies {
     /// The connections over which attempts and health checks are sent to endpoints.
     pub upstream: Upstream,
+    /// The budget in which the memory of the endpoint list is reserved.
+    pub memory: Arc<Memory>,
     /// The channel on which the balancer's requests for a watch of the endpoint list are sent.
     pub watch_requests: mpsc::Sender<()>,
     /// The counters of violated invariants.
@@ -62,6 +67,8 @@
     requests: OpenRequests,
     timers: Timers,
     endpoints: Endpoints,
+    /// The memory of the endpoints.
+    endpoints_lease: MemoryLease,
     upstream: Upstream,
     /// The health checks in flight. Dropping a sender cancels the health check.
     health_checks: BTreeMap<EndpointId, oneshot::Sender<Cancellation>>,
@@ -79,7 +86,7 @@
     pub fn new(
         deployment: Deployment, seed: u64, cached_list: EndpointList, dependencies: Dependencies,
     ) -> Result<Self, SettingsError> {
-        let Dependencies { upstream, watch_requests, violations, lag } = dependencies;
+        let Dependencies { upstream, memory, watch_requests, violations, lag } = dependencies;
         let clock = Clock::start();
         // A load report that is older than the shortest latency objective is useless.
         let objectives_ms = deployment.balancer.classes.iter().map(|class| class.latency_objective_ms);
@@ -93,6 +100,7 @@
             lag,
             max_retry_after_ms: deployment.balancer.max_retry_after_ms,
             endpoints: Endpoints::new(deployment.names),
+            endpoints_lease: memory.lease(Work::Accepted),
             balancer: Balancer::new(deployment.balancer, seed)?,
             now_ms: clock.now(),
             clock,
@@ -278,5 +286,6 @@
         self.notify_balancer(Event::EndpointUpdate { kind, endpoints });
         let balancer = &self.balancer;
         self.endpoints.retain(|endpoint| balancer.knows(endpoint));
+        self.endpoints_lease.set_bytes(self.endpoints.memory_bytes());
     }
 }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -111,11 +111,16 @@
         let upstream =
             new_upstream(&deployment, events.clone(), &budgets).with_violations(violations.clone());
         let longest_deadline = longest_deadline(&deployment);
-        let list_source = ListSource::new(control, discovery, &deployment, &cached_list);
+        let list_source = ListSource::new(control, discovery, &deployment, &cached_list, &budgets);
         let cached_list = list_source.initial_list(cached_list);
         let (revision, endpoints) = (cached_list.revision, cached_list.endpoints.len());
-        let dependencies =
-            Dependencies { upstream, watch_requests, violations: violations.clone(), lag: lag.clone() };
+        let dependencies = Dependencies {
+            upstream,
+            memory: budgets.memory.clone(),
+            watch_requests,
+            violations: violations.clone(),
+            lag: lag.clone(),
+        };
         let event_loop = EventLoop::new(deployment.clone(), seed, cached_list, dependencies)?;
         let frontend = Frontend::new(deployment, events.clone(), phase_receiver, budgets, lag.clone());
 
@@ -222,7 +227,7 @@
 impl ListSource {
     fn new(
         control: Option<ControlConfig>, address: DiscoveryAddressReceiver, deployment: &Deployment,
-        cached_list: &EndpointList,
+        cached_list: &EndpointList, budgets: &Budgets,
     ) -> Self {
         if let Some(control) = control {
             return ListSource::Control { control: Box::new(control), cached_list: cached_list.clone() };
@@ -237,6 +242,7 @@
             // Discovery continues a non-empty cached list with changes, even if its revision is 0.
             revision: (!cached_list.endpoints.is_empty()).then_some(cached_list.revision),
             renewal_delay: discovery::renewal_delay(index, gateway_count),
+            memory: budgets.memory.clone(),
         };
         ListSource::Discovery { address, config }
     }
