Request the complete list if discovery's revision goes back

Now changes with an earlier revision than the known one are discarded, and the next poll asks for the complete list.

Checked for endpoints, without a finding: a new name at an old address, a new start at the same address and a swap of addresses each end the incarnation, so that connections, retries and attempts of the old one are not used (tests of attempts.rs and discovery.rs). A process that discovery does not know to be new cannot be told from the old one on this protocol.

--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -206,15 +206,21 @@
             let polled_at = Instant::now();
             let PollResponse { list, keep_alive } =
                 self.poll(address, &timing, deadline, &mut reader).await?;
-            // The pause avoids a busy loop if discovery responds to polls without waiting for a change.
-            let is_idle = list.endpoints.is_empty() && polled_at.elapsed() < EMPTY_POLL_DELAY;
-            *self.revision = Some(list.revision);
             (*self.has_had_response, timing) = (true, NEXT_POLL);
-            if self.events.send(GatewayEvent::Discovery(DiscoveryEvent::Update(list))).await.is_err() {
-                return Ok(());
-            }
-            if is_idle {
-                sleep(EMPTY_POLL_DELAY).await;
+            if self.is_of_another_history(&list) {
+                let (revision, known) = (list.revision, *self.revision);
+                warn!(revision, known, "revision of discovery went back; requesting the complete list");
+                *self.revision = None;
+            } else {
+                // The pause avoids a busy loop if discovery responds to polls without waiting for a change.
+                let is_idle = list.endpoints.is_empty() && polled_at.elapsed() < EMPTY_POLL_DELAY;
+                *self.revision = Some(list.revision);
+                if self.events.send(GatewayEvent::Discovery(DiscoveryEvent::Update(list))).await.is_err() {
+                    return Ok(());
+                }
+                if is_idle {
+                    sleep(EMPTY_POLL_DELAY).await;
+                }
             }
             deadline = Instant::now() + NEXT_POLL.total();
             if !keep_alive || !reader.is_idle() {
@@ -224,6 +230,12 @@
         }
     }
 
+    /// Returns whether a list contains changes to a revision that this gateway does not have, because another
+    /// process with revisions of its own has taken discovery's place.
+    fn is_of_another_history(&self, list: &EndpointList) -> bool {
+        !list.is_complete && self.revision.is_some_and(|known| list.revision < known)
+    }
+
     /// Sends one poll and waits for its response until `deadline`.
     async fn poll(
         &mut self, address: SocketAddr, timing: &PollTiming, deadline: Instant,
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -346,3 +346,30 @@
     assert!(max_delay < Duration::from_secs(6));
     drop(held_responder);
 }
+
+// Guards against a restarted discovery, whose revisions have started again, that is taken for its predecessor.
+#[tokio::test]
+async fn changes_with_an_earlier_revision_are_discarded_and_the_complete_list_is_requested() {
+    let (mut server, mut other_server) = (StubServer::start(SERVE).await, StubServer::start(SERVE).await);
+    let mut discovery = StubDiscovery::start().await;
+    let gateway = Gateway::start(&gateway_config(
+        vec![endpoint_entry(1, server.address, "SERVING")],
+        discovery.address,
+    ))
+    .await;
+    let (poll_target, responder) = discovery.next_poll().await;
+    assert!(poll_target.contains("after=41"), "{poll_target}");
+    // Revision 5 of another history: its changes do not apply to revision 41.
+    let changes = vec![endpoint_entry(1, server.address, "DRAINING")];
+    responder.send(ok_response(&endpoint_list(5, false, changes))).expect("the poll waits for its response");
+    let (poll_target, responder) = discovery.next_poll().await;
+    assert_eq!(poll_target, "/v1/endpoints");
+    assert_eq!(gateway.client().await.request(&look_request("meanwhile")).await.start_line.code, 200);
+    assert_eq!(server.take_events().0, ["meanwhile"], "the changes of revision 5 are not applied");
+    let complete = vec![endpoint_entry(2, other_server.address, "SERVING")];
+    responder.send(ok_response(&endpoint_list(5, true, complete))).expect("the poll waits for its response");
+    let (poll_target, _waiting) = discovery.next_poll().await;
+    assert!(poll_target.contains("after=5"), "{poll_target}");
+    assert_eq!(gateway.client().await.request(&look_request("restarted")).await.start_line.code, 200);
+    assert_eq!((server.take_events().0.len(), other_server.take_events().0), (0, vec!["restarted".into()]));
+}
