--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -373,3 +373,41 @@
     assert_eq!(gateway.client().await.request(&look_request("restarted")).await.start_line.code, 200);
     assert_eq!((server.take_events().0.len(), other_server.take_events().0), (0, vec!["restarted".into()]));
 }
+
+// Guards against a new process at the address of one that has gone that is taken for the old one.
+#[tokio::test]
+async fn an_endpoint_that_takes_over_an_address_is_not_reached_over_the_old_connections() {
+    let (first, second) = (ScriptedServer::start().await, ScriptedServer::start().await);
+    let mut discovery = StubDiscovery::start().await;
+    let entry = |number, server: &ScriptedServer, state| endpoint_entry(number, server.address, state);
+    let gateway = Gateway::start(&gateway_config(vec![entry(1, &first, "SERVING")], discovery.address)).await;
+    let mut client = gateway.client().await;
+    // Each change of the list leaves the first server alone in service, as another endpoint at its address.
+    let changes = [
+        vec![entry(1, &first, "DELETED"), entry(2, &first, "SERVING")],
+        // The endpoints swap their addresses.
+        vec![entry(2, &second, "DRAINING"), entry(3, &first, "SERVING")],
+        // The same endpoint at the same address has started again.
+        vec![{
+            let mut restarted = entry(3, &first, "SERVING");
+            restarted["boot_ms"] = 1.into();
+            restarted
+        }],
+    ];
+    let (_, mut responder) = discovery.next_poll().await;
+    for (number, change) in changes.into_iter().enumerate() {
+        client.send(&look_request(&format!("before-{number}"))).await;
+        let mut connection = first.accept().await;
+        connection.read_request().await.expect("the request is forwarded");
+        connection.write(OK_RESPONSE).await;
+        client.read_response().await.expect("the gateway responds");
+        responder
+            .send(ok_response(&endpoint_list(42 + number as u64, false, change)))
+            .expect("the poll waits for its response");
+        responder = discovery.next_poll().await.1;
+        assert!(
+            connection.closes_without_data().await,
+            "change {number}: the old connection is closed unused"
+        );
+    }
+}
