Evict spare and lingering connections, so that half requests block no accept

Cause: the accept loop took a spare permit before each accept, and a spare connection kept it for up to 3 s, because no eviction reached it. Class: a place that is taken before need and kept until a timeout.

The accept loop accepts while a connection would be admitted and takes nothing before. Admitted connections that only wait for their client's close are evicted first after 100 ms.

--- a/gateway/src/budget.rs
+++ b/gateway/src/budget.rs
@@ -26,6 +26,9 @@
 const CROWDED_SHARE: f64 = 0.5;
 /// The largest share of the budget that idle client connections may hold.
 const MAX_IDLE_SHARE: f64 = 0.125;
+/// The time in which a client usually reads its last response. After it, a lingering connection is evicted
+/// first.
+const MIN_LINGERING_MS: f64 = 100.0;
 /// A surplus idle connection is not evicted before it has been idle for this long, because the client's next
 /// request may be on the way.
 const MIN_EVICTABLE_IDLE_MS: f64 = 100.0;
@@ -41,6 +44,8 @@
     Open,
     /// The connection waits for the client's next request.
     Idle,
+    /// The last response has been written, and the client has not closed the connection yet.
+    Lingering,
 }
 
 /// The budget's decision on a new client connection.
@@ -76,7 +81,7 @@
     last_id: ClientId,
     clients: HashMap<ClientId, StateEntry>,
     by_state: BTreeSet<StateEntry>,
-    state_counts: [usize; 4],
+    state_counts: [usize; 5],
 }
 
 fn to_us(time_ms: f64) -> u64 {
@@ -92,7 +97,7 @@
             last_id: 0,
             clients: HashMap::new(),
             by_state: BTreeSet::new(),
-            state_counts: [0; 4],
+            state_counts: [0; 5],
         }
     }
 
@@ -128,7 +133,7 @@
     /// Returns the client connection to evict for a new client. A connection with an open request is never
     /// evicted.
     fn eviction_candidate(&self, now_ms: f64) -> Option<ClientId> {
-        use ConnectionState::{Idle, New, Reading};
+        use ConnectionState::{Idle, Lingering, New, Reading};
         let min_crowded = CROWDED_SHARE * self.max_clients() as f64;
         let oldest_if_crowded = |state| {
             let is_crowded = self.count_in(state) as f64 >= min_crowded;
@@ -139,7 +144,8 @@
             }
         };
         let larger_state = if self.count_in(New) > self.count_in(Reading) { New } else { Reading };
-        self.oldest(New, now_ms, MAX_SILENT_MS)
+        self.oldest(Lingering, now_ms, MIN_LINGERING_MS)
+            .or_else(|| self.oldest(New, now_ms, MAX_SILENT_MS))
             .or_else(|| self.oldest(Reading, now_ms, MAX_READING_MS))
             .or_else(|| oldest_if_crowded(New))
             .or_else(|| oldest_if_crowded(Reading))
@@ -147,6 +153,11 @@
             .or_else(|| self.oldest(larger_state, now_ms, 0.0))
     }
 
+    /// Returns whether a client connection would be admitted now.
+    pub fn has_room_for_client(&self, now_ms: f64) -> bool {
+        self.client_count() < self.max_clients() || self.eviction_candidate(now_ms).is_some()
+    }
+
     /// Admits a client connection accepted at `now_ms`, if a descriptor is free or another connection can be
     /// evicted.
     pub fn admit(&mut self, now_ms: f64) -> DescriptorGrant {
@@ -230,7 +241,8 @@
     /// client.
     pub fn make_room(&mut self, now_ms: f64) -> Option<ClientId> {
         let evicted = self
-            .oldest(ConnectionState::New, now_ms, MAX_SILENT_MS)
+            .oldest(ConnectionState::Lingering, now_ms, MIN_LINGERING_MS)
+            .or_else(|| self.oldest(ConnectionState::New, now_ms, MAX_SILENT_MS))
             .or_else(|| self.oldest(ConnectionState::Reading, now_ms, MAX_READING_MS))
             .or_else(|| self.oldest(ConnectionState::Idle, now_ms, 0.0))?;
         self.remove(evicted);
--- a/gateway/src/budgets.rs
+++ b/gateway/src/budgets.rs
@@ -11,6 +11,8 @@
 pub struct ProcessLimits {
     /// The number of descriptors for client and upstream connections.
     pub descriptors: usize,
+    /// The number of descriptors for client connections beyond these.
+    pub spare_descriptors: usize,
     /// The memory limit of the process, in bytes.
     pub memory_bytes: u64,
     /// The share of one processor core that the process may use, up to 1.
@@ -34,7 +36,7 @@
     pub fn new(limits: ProcessLimits) -> Self {
         let plan = MemoryPlan::new(limits.memory_bytes, limits.descriptors);
         Budgets {
-            descriptors: Descriptors::new(plan.max_connections),
+            descriptors: Descriptors::with_spares(plan.max_connections, limits.spare_descriptors),
             memory: Memory::new(plan.reservable_bytes),
             start: Instant::now(),
             work: Arc::new(Mutex::new(WorkBudget::new(limits.cores))),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod response;
 mod serve;
 pub mod sockets;
+pub mod spare_budget;
 pub mod upstream;
 pub mod work_budget;
 
--- a/gateway/src/listener/accept.rs
+++ b/gateway/src/listener/accept.rs
@@ -1,18 +1,19 @@
 //! The accept loop, and the accepts at the end of a graceful shutdown.
 use super::connection::ClientConnection;
 use super::{ClientSlot, ConnectionGuard, Frontend, ShutdownPhase};
-use crate::descriptors::AdmittedClient;
+use crate::descriptors::{AdmittedClient, SpareClient};
 use crate::sockets::{is_connection_error, lacks_descriptors, with_nodelay};
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{sleep, Instant};
 use tracing::{debug, warn};
 
 /// The delay before a failed accept is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(10);
+/// The interval at which the accept loop looks for room for another connection.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// The shortest interval between two warnings about failed accepts.
 const WARNING_INTERVAL: Duration = Duration::from_secs(5);
 /// How long failed accepts are retried at the end of a graceful shutdown.
@@ -41,9 +42,10 @@
         // none waited.
         let mut waiting_since: Option<Instant> = None;
         loop {
-            // Without a free descriptor, up to `MAX_SPARE_CONNECTIONS` clients are accepted and rejected with
-            // retry advice. Further connections wait in the kernel.
-            let Ok(spare) = self.spare_slots.clone().acquire_owned().await else { return };
+            // Without room, connections wait in the kernel, so that the descriptors beyond the budget suffice.
+            while !self.budgets.descriptors.can_accept() {
+                sleep(ROOM_CHECK_INTERVAL).await;
+            }
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
@@ -55,7 +57,7 @@
             let arrived_at = *waiting_since.get_or_insert_with(|| self.lag.earliest_arrival());
             match with_nodelay(accepted.map(|(stream, _)| stream)) {
                 Ok(stream) => {
-                    if self.admit(stream, spare, arrived_at) {
+                    if self.admit(stream, arrived_at) {
                         // The evicted connection is closed before the next one is accepted, so that the
                         // budget holds.
                         tokio::task::yield_now().await;
@@ -95,22 +97,31 @@
                 Err(_) => return,
             };
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            match (with_nodelay(stream), self.spare_slots.clone().try_acquire_owned()) {
-                (Ok(stream), Ok(spare)) => drop(self.admit(stream, spare, Instant::now())),
-                (Err(e), _) => debug!(error = %e, "cannot use an accepted connection"),
-                (_, Err(_)) => warn!("too many clients at shutdown; closing a connection without a response"),
+            match with_nodelay(stream) {
+                Ok(stream) if self.budgets.descriptors.can_accept() => {
+                    self.admit(stream, Instant::now());
+                }
+                Ok(_) => warn!("too many clients at shutdown; closing a connection without a response"),
+                Err(e) => debug!(error = %e, "cannot use an accepted connection"),
             }
         }
     }
 
     /// Spawns the task that serves a connection, which arrived at `arrived_at` or later. Returns true if
     /// another connection was evicted for the new one and is still being closed.
-    fn admit(self: &Arc<Self>, stream: TcpStream, spare: OwnedSemaphorePermit, arrived_at: Instant) -> bool {
-        let (slot, has_evicted) = match self.budgets.descriptors.admit() {
-            Some(AdmittedClient { descriptor, evicted, has_evicted }) => {
-                (ClientSlot::Admitted { descriptor, evicted }, has_evicted)
-            }
-            None => (ClientSlot::Spare { _permit: spare }, false),
+    fn admit(self: &Arc<Self>, stream: TcpStream, arrived_at: Instant) -> bool {
+        let descriptors = &self.budgets.descriptors;
+        let admitted = descriptors.admit().map(|AdmittedClient { descriptor, evicted, has_evicted }| {
+            (ClientSlot::Admitted { descriptor, evicted }, has_evicted)
+        });
+        let slot = admitted.or_else(|| {
+            let SpareClient { descriptor, evicted, has_evicted } = descriptors.admit_spare()?;
+            Some((ClientSlot::Spare { descriptor, evicted }, has_evicted))
+        });
+        let Some((slot, has_evicted)) = slot else {
+            // Accepted only while there is room, so that this happens only if the room is gone meanwhile.
+            warn!("no descriptor for a client; closing its connection");
+            return false;
         };
         // The connection is counted before its task first runs, so that a shutdown waits for the connection.
         let guard = ConnectionGuard::new(self.clone());
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -127,7 +127,7 @@
                     IdleEnd::Expired => return self.close_idle().await,
                 }
             }
-            self.set_state(ConnectionState::Reading);
+            self.slot.set_state(ConnectionState::Reading);
             let response = match self.read_request().await {
                 ReadOutcome::Request(request) => self.respond(request).await,
                 ReadOutcome::ClientClosed => return Ok(()),
@@ -142,10 +142,9 @@
             let keep_alive = response.keep_alive;
             self.write(response).await?;
             if !keep_alive {
-                self.input.release();
-                return linger(&mut self.input.stream).await;
+                return self.linger_until_evicted().await;
             }
-            self.set_state(ConnectionState::Idle);
+            self.slot.set_state(ConnectionState::Idle);
         }
     }
 
@@ -154,12 +153,6 @@
         self.frontend.closes.record(reason, self.connection_id, self.input.reader.memory_bytes());
     }
 
-    fn set_state(&self, state: ConnectionState) {
-        if let ClientSlot::Admitted { descriptor, .. } = &self.slot {
-            descriptor.set_state(state);
-        }
-    }
-
     /// Waits for the next request's first byte.
     async fn wait_for_first_byte(&mut self) -> io::Result<IdleEnd> {
         let (phase, accepted_at) = (&mut self.phase, self.accepted_at);
@@ -214,7 +207,7 @@
 
     /// Handles a request, and decides whether the connection stays open after the response.
     async fn respond(&mut self, request: ArrivedRequest) -> FinalResponse {
-        self.set_state(ConnectionState::Open);
+        self.slot.set_state(ConnectionState::Open);
         let client_keeps_alive = request.message.keep_alive;
         let RequestResult { response, client_disconnected } = self.handle_request(request).await;
         let is_invalid =
@@ -311,6 +304,17 @@
         }
     }
 
+    /// Lingers after the last response, until the descriptor is needed for another connection.
+    async fn linger_until_evicted(mut self) -> io::Result<()> {
+        self.input.release();
+        self.slot.set_state(ConnectionState::Lingering);
+        tokio::select! {
+            biased;
+            lingered = linger(&mut self.input.stream) => lingered,
+            () = self.slot.evicted() => Ok(()),
+        }
+    }
+
     /// Closes an idle connection. The connection lingers, because otherwise a request that the client sends
     /// at the same time would be answered by a TCP reset.
     async fn close_idle(mut self) -> io::Result<()> {
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -8,19 +8,21 @@
 mod pacing;
 mod request;
 
+use crate::budget::ConnectionState;
 use crate::budgets::Budgets;
 use crate::closes::CloseCounters;
 use crate::correlation_ids::SharedCorrelationIds;
-use crate::descriptors::Descriptor;
+use crate::descriptors::{Descriptor, SpareDescriptor};
 use crate::events::EventSender;
 use crate::loop_lag::LoopLag;
+use crate::spare_budget::SpareState;
 use crate::work_budget::ConnectionId;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::RequestId;
 use ternstack_settings::Deployment;
-use tokio::sync::{oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{oneshot, watch, Semaphore};
 use tokio::time::sleep;
 
 /// The maximum number of client connections that are accepted beyond the descriptor budget, so that their
@@ -54,7 +56,6 @@
     next_request_id: AtomicU64,
     budgets: Budgets,
     closes: CloseCounters,
-    spare_slots: Arc<Semaphore>,
     lingering_slots: Semaphore,
     connection_count: AtomicUsize,
     last_connection_id: AtomicU64,
@@ -95,8 +96,9 @@
     },
     /// The connection holds a descriptor beyond the budget, and its request is rejected.
     Spare {
-        /// The permit for one of [`MAX_SPARE_CONNECTIONS`], released when the slot is dropped.
-        _permit: OwnedSemaphorePermit,
+        descriptor: SpareDescriptor,
+        /// Completes when the connection is evicted.
+        evicted: oneshot::Receiver<()>,
     },
 }
 
@@ -106,15 +108,28 @@
     }
 
     fn is_evicted(&self) -> bool {
-        matches!(self, ClientSlot::Admitted { descriptor, .. } if descriptor.is_evicted())
+        match self {
+            ClientSlot::Admitted { descriptor, .. } => descriptor.is_evicted(),
+            ClientSlot::Spare { descriptor, .. } => descriptor.is_evicted(),
+        }
+    }
+
+    fn set_state(&self, state: ConnectionState) {
+        match self {
+            ClientSlot::Admitted { descriptor, .. } => descriptor.set_state(state),
+            ClientSlot::Spare { descriptor, .. } => descriptor.set_state(match state {
+                ConnectionState::New | ConnectionState::Reading => SpareState::Incomplete,
+                ConnectionState::Open => SpareState::Responding,
+                ConnectionState::Idle | ConnectionState::Lingering => SpareState::Lingering,
+            }),
+        }
     }
 
-    /// Waits until the connection is evicted. Never completes for a connection beyond the budget.
+    /// Waits until the connection is evicted.
     async fn evicted(&mut self) {
         match self {
             // The result does not matter: the sender is dropped without a message only after the descriptor.
-            ClientSlot::Admitted { evicted, .. } => drop(evicted.await),
-            ClientSlot::Spare { .. } => std::future::pending().await,
+            ClientSlot::Admitted { evicted, .. } | ClientSlot::Spare { evicted, .. } => drop(evicted.await),
         }
     }
 }
@@ -134,7 +149,6 @@
             next_request_id: AtomicU64::new(0),
             budgets,
             closes: CloseCounters::default(),
-            spare_slots: Arc::new(Semaphore::new(MAX_SPARE_CONNECTIONS)),
             lingering_slots: Semaphore::new(MAX_LINGERING_CONNECTIONS),
             connection_count: AtomicUsize::new(0),
             last_connection_id: AtomicU64::new(0),
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -195,6 +195,7 @@
 fn budgets(config: &Config) -> Budgets {
     Budgets::new(ProcessLimits {
         descriptors: config.max_sockets.saturating_sub(RESERVED_DESCRIPTORS + MAX_SPARE_CONNECTIONS),
+        spare_descriptors: MAX_SPARE_CONNECTIONS,
         memory_bytes: config.max_memory_bytes,
         cores: config.cores,
     })
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -214,3 +214,22 @@
         (true, true)
     );
 }
+
+#[test]
+fn a_connection_that_waits_for_its_clients_close_is_evicted_first() {
+    let mut budget = DescriptorBudget::new(16);
+    let mut admitted = Vec::new();
+    while let DescriptorGrant::Admitted(id) = budget.admit(0.0) {
+        budget.set_state(id, ConnectionState::Open, 0.0);
+        admitted.push(id);
+    }
+    budget.set_state(admitted[0], ConnectionState::Idle, 0.0);
+    budget.set_state(admitted[1], ConnectionState::Lingering, 950.0);
+    assert!(budget.has_room_for_client(1000.0));
+    let evicted = |grant| match grant {
+        DescriptorGrant::Evicting { evicted, .. } => Some(evicted),
+        _ => None,
+    };
+    assert_eq!(evicted(budget.admit(1000.0)), Some(admitted[0]), "the client may still read its response");
+    assert_eq!(evicted(budget.admit(1050.0)), Some(admitted[1]));
+}
--- a/gateway/tests/client_connections.rs
+++ b/gateway/tests/client_connections.rs
@@ -233,3 +233,35 @@
     assert!(count <= max_count, "{count} responses in {elapsed_ms} ms, at most {max_count}");
     assert!(count > BURST_RESPONSES / 2, "a burst is served at once: {count} responses");
 }
+
+// Guards against clients with half a request that keep the connections of other clients from being accepted.
+#[tokio::test]
+async fn clients_with_half_a_request_do_not_delay_the_response_to_another_client() {
+    let (server, discovery) = (StubServer::start(ServerBehavior::Hang).await, StubDiscovery::start().await);
+    let mut config = gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address);
+    config["limits"]["sockets"] = 64.into();
+    let gateway = Gateway::start(&config).await;
+    // All admitted connections have open requests, so that none of them can be evicted.
+    let mut open_clients = Vec::new();
+    for number in 0..16 {
+        let mut client = gateway.client().await;
+        client.send(&look_request(&format!("open-{number}"))).await;
+        open_clients.push(client);
+    }
+    sleep(Duration::from_millis(200)).await;
+    let mut half_clients = Vec::new();
+    for _ in 0..100 {
+        let mut client = gateway.client().await;
+        client.send("GET /api HTTP/1.1\r\nX-Correlation-Id: half").await;
+        half_clients.push(client);
+    }
+    let mut client = gateway.client().await;
+    let response = client.request(&look_request("complete")).await;
+    assert_eq!(response.start_line.code, 503, "the request is rejected, because all descriptors are in use");
+    for half_client in &mut half_clients {
+        let mut bytes = [0; 64];
+        let received = half_client.stream.try_read(&mut bytes).unwrap_or(0);
+        let text = String::from_utf8_lossy(&bytes[..received]);
+        assert!(!text.contains("408"), "the response came only after a timeout of other clients");
+    }
+}
