Bound the options of Connection, and pause no connection while shutting down

A head of 16 KiB may hold 8,000 options of one letter in `Connection`, and each of 64 fields was compared with each option as the head was forwarded; more than 64 options are now answered with 431, as more than 64 fields are. Its case in malformed_lengths_and_excessive_sizes_give_different_errors failed before. And a heavy connection no longer pauses once a shutdown has begun, so that a request which it has sent completely has its response before SIGKILL may come; by reading, no test.

--- a/gateway/src/http1/fields.rs
+++ b/gateway/src/http1/fields.rs
@@ -1,6 +1,6 @@
 //! Header fields: lookup by name, interpretation of the connection and framing fields, and forwarding.
 use super::chunked::ChunkedBody;
-use super::{Framing, ParseError};
+use super::{Framing, ParseError, MAX_FIELDS};
 use bytes::{Bytes, BytesMut};
 use std::ops::Range;
 
@@ -97,6 +97,15 @@
         }
     }
 
+    /// Checks that the `Connection` fields have no more options than a head has fields. Each field is compared
+    /// with each option when the head is forwarded, so that thousands of short options would cost milliseconds.
+    pub(super) fn check_connection_options(&self) -> Result<(), ParseError> {
+        if self.elements("connection").nth(MAX_FIELDS).is_some() {
+            return Err(ParseError::HeadTooLarge);
+        }
+        Ok(())
+    }
+
     /// Returns whether the connection stays open after a message of HTTP/1.`minor_version` with these fields.
     pub(super) fn keep_alive(&self, minor_version: u8) -> bool {
         let has_option =
--- a/gateway/src/http1/mod.rs
+++ b/gateway/src/http1/mod.rs
@@ -17,7 +17,7 @@
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// The maximum size of a body that the platform's protocol permits.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
-/// The maximum number of header fields, and likewise of trailer fields, in a message.
+/// The maximum number of header fields, of trailer fields, and of options in `Connection`, in a message.
 const MAX_FIELDS: usize = 64;
 
 /// The reason why received bytes are not an acceptable message.
@@ -30,7 +30,7 @@
     /// The body's framing is malformed, or the fields that state the body's length contradict each other.
     #[error("malformed or ambiguous body length")]
     InvalidLength,
-    /// The head exceeds [`MAX_HEAD_BYTES`] or has too many fields.
+    /// The head exceeds [`MAX_HEAD_BYTES`], or has too many fields or options in `Connection`.
     #[error("head exceeds {MAX_HEAD_BYTES} bytes or {MAX_FIELDS} fields")]
     HeadTooLarge,
     /// The body exceeds the size limit of the [`Reader`].
--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -202,6 +202,7 @@
         // A copy, so that the head does not keep the whole buffer in memory.
         let fields = Fields::new(Bytes::copy_from_slice(&self.buffer[..length_bytes]), spans);
         self.buffer.advance(length_bytes);
+        fields.check_connection_options()?;
         let framing = match fields.framing()? {
             _ if start_line.has_no_body() => Framing::Length(0),
             Some(framing) => framing,
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -1,6 +1,6 @@
 //! Reading from a client connection: the next request, and a disconnect while a request is open.
 use super::pacing::Pacer;
-use super::{ConnectionGuard, Frontend};
+use super::{ConnectionGuard, Frontend, ShutdownPhase};
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
 use crate::memory::{MemoryExhausted, MemoryLease};
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
@@ -87,7 +87,10 @@
         // The waiting time applies only if the request is complete without a further read.
         let mut arrived_at = self.waiting_since.take();
         loop {
-            self.pacer.pause().await;
+            // A request that is complete must have its response before the process may be killed.
+            if self.frontend.phase() == ShutdownPhase::Serving {
+                self.pacer.pause().await;
+            }
             if let Some(message) = self.reader.next(false)? {
                 self.pacer.charge(self.frontend, REQUEST_COST_US);
                 let arrived_at = arrived_at.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
--- a/gateway/tests/parsers.rs
+++ b/gateway/tests/parsers.rs
@@ -142,6 +142,7 @@
     let head = |fields: &str| format!("POST /api HTTP/1.1\r\n{fields}\r\n\r\n");
     let long_header = format!("X-Long: {}", "x".repeat(MAX_HEAD_BYTES));
     let many_headers = vec!["X-Many: 1"; 70].join("\r\n");
+    let many_options = format!("Connection: {}", vec!["a"; 65].join(","));
     for (fields, error) in [
         ("Content-Length: -1", ParseError::InvalidLength),
         ("Content-Length: +1", ParseError::InvalidLength),
@@ -156,6 +157,7 @@
         ("No colon", ParseError::MalformedHead),
         (&long_header, ParseError::HeadTooLarge),
         (&many_headers, ParseError::HeadTooLarge),
+        (&many_options, ParseError::HeadTooLarge),
     ] {
         let result = read::<RequestLine>(head(fields).as_bytes(), &[]);
         assert_eq!(result, (Vec::new(), Err(error)), "{}", &fields[..fields.len().min(60)]);
