Do not evict a connection before its request can have been read

Cause, by the record and the order of events: where all other connections have open requests, the next accept evicted the connection that had just been accepted, before its task had run once. The eviction for want of others and of a crowd now leaves 20 ms, as for spare connections. A connection that finds no room after its accept is kept until there is room, also over the end of the accept loop.

a_connection_that_has_just_been_accepted_is_not_evicted_for_the_next_one fails without the change by construction (age 1 ms).

--- a/gateway/src/budget.rs
+++ b/gateway/src/budget.rs
@@ -20,6 +20,9 @@
 /// A connection that has been receiving one request for this long is evicted next, because a request usually
 /// arrives in one piece.
 const MAX_READING_MS: f64 = 500.0;
+/// A connection whose request is incomplete is not evicted before this time, because the request usually
+/// arrives together with the connection and has only not been read yet.
+pub(crate) const MIN_INCOMPLETE_MS: f64 = 20.0;
 /// Once new connections, or connections with incomplete requests, hold this share of the clients'
 /// descriptors, the oldest of them is evicted. A flood then evicts its own connections instead of idle
 /// connections that clients reuse.
@@ -138,7 +141,7 @@
         let oldest_if_crowded = |state| {
             let is_crowded = self.count_in(state) as f64 >= min_crowded;
             if is_crowded {
-                self.oldest(state, now_ms, 0.0)
+                self.oldest(state, now_ms, MIN_INCOMPLETE_MS)
             } else {
                 None
             }
@@ -150,7 +153,7 @@
             .or_else(|| oldest_if_crowded(New))
             .or_else(|| oldest_if_crowded(Reading))
             .or_else(|| self.oldest(Idle, now_ms, 0.0))
-            .or_else(|| self.oldest(larger_state, now_ms, 0.0))
+            .or_else(|| self.oldest(larger_state, now_ms, MIN_INCOMPLETE_MS))
     }
 
     /// Returns whether a client connection would be admitted now.
--- a/gateway/src/listener/accept.rs
+++ b/gateway/src/listener/accept.rs
@@ -19,33 +19,41 @@
 /// How long failed accepts are retried at the end of a graceful shutdown.
 const FINAL_ACCEPT_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// A connection that has been accepted and not been admitted yet.
+struct AcceptedConnection {
+    stream: TcpStream,
+    /// The earliest time at which the connection's first bytes may have arrived.
+    arrived_at: Instant,
+}
+
 impl Frontend {
     /// Accepts client connections until [`ShutdownPhase::Rejecting`], and then the connections that wait in
     /// the kernel at that time, because closing the listener would reset those connections together with
     /// their requests.
     pub async fn accept(self: Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
+        let mut without_room = None;
         tokio::select! {
-            () = self.accept_loop(&listener) => {}
+            () = self.accept_loop(&listener, &mut without_room) => {}
             // Waiting fails only if the sender is dropped, which does not happen while the gateway runs.
             _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Rejecting) => {}
         }
         match listener.into_std() {
-            Ok(listener) => self.accept_backlog(&listener).await,
+            Ok(listener) => self.accept_backlog(&listener, without_room).await,
             Err(e) => warn!(error = %e, "cannot accept the last connections"),
         }
     }
 
-    async fn accept_loop(self: &Arc<Self>, listener: &TcpListener) {
+    /// Accepts connections until this function is cancelled. A connection that waits for room is kept in
+    /// `without_room`, so that it is not lost with the cancellation.
+    async fn accept_loop(
+        self: &Arc<Self>, listener: &TcpListener, without_room: &mut Option<AcceptedConnection>,
+    ) {
         let mut warned_at: Option<Instant> = None;
         // The time since which connections may have been waiting in the kernel, which is the last time when
         // none waited.
         let mut waiting_since: Option<Instant> = None;
         loop {
-            // Without room, connections wait in the kernel, so that the descriptors beyond the budget suffice.
-            while !self.budgets.descriptors.can_accept() {
-                sleep(ROOM_CHECK_INTERVAL).await;
-            }
             let accepted = tokio::select! {
                 biased;
                 accepted = listener.accept() => accepted,
@@ -57,7 +65,14 @@
             let arrived_at = *waiting_since.get_or_insert_with(|| self.lag.earliest_arrival());
             match with_nodelay(accepted.map(|(stream, _)| stream)) {
                 Ok(stream) => {
-                    if self.admit(stream, arrived_at) {
+                    *without_room = Some(AcceptedConnection { stream, arrived_at });
+                    // The next connections wait in the kernel, so that the descriptors beyond the budget
+                    // suffice.
+                    while !self.budgets.descriptors.can_accept() {
+                        sleep(ROOM_CHECK_INTERVAL).await;
+                    }
+                    let has_evicted = without_room.take().is_some_and(|accepted| self.admit(accepted));
+                    if has_evicted {
                         // The evicted connection is closed before the next one is accepted, so that the
                         // budget holds.
                         tokio::task::yield_now().await;
@@ -82,9 +97,15 @@
         }
     }
 
-    /// Accepts the connections that wait in the kernel before the listener is closed.
-    async fn accept_backlog(self: &Arc<Self>, listener: &std::net::TcpListener) {
+    /// Accepts the connections that wait in the kernel before the listener is closed, after the connection
+    /// `without_room` that has been accepted before.
+    async fn accept_backlog(
+        self: &Arc<Self>, listener: &std::net::TcpListener, without_room: Option<AcceptedConnection>,
+    ) {
         let retry_until = Instant::now() + FINAL_ACCEPT_TIMEOUT;
+        if let Some(accepted) = without_room {
+            self.admit_until(accepted, retry_until).await;
+        }
         loop {
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
@@ -98,18 +119,32 @@
             };
             let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
             match with_nodelay(stream) {
-                Ok(stream) if self.budgets.descriptors.can_accept() => {
-                    self.admit(stream, Instant::now());
+                Ok(stream) => {
+                    let accepted = AcceptedConnection { stream, arrived_at: Instant::now() };
+                    self.admit_until(accepted, retry_until).await;
                 }
-                Ok(_) => warn!("too many clients at shutdown; closing a connection without a response"),
                 Err(e) => debug!(error = %e, "cannot use an accepted connection"),
             }
         }
     }
 
-    /// Spawns the task that serves a connection, which arrived at `arrived_at` or later. Returns true if
-    /// another connection was evicted for the new one and is still being closed.
-    fn admit(self: &Arc<Self>, stream: TcpStream, arrived_at: Instant) -> bool {
+    /// Admits a connection as soon as there is room, or closes it at `until`.
+    async fn admit_until(self: &Arc<Self>, accepted: AcceptedConnection, until: Instant) {
+        while !self.budgets.descriptors.can_accept() {
+            if Instant::now() >= until {
+                return warn!("too many clients at shutdown; closing a connection without a response");
+            }
+            sleep(ROOM_CHECK_INTERVAL).await;
+        }
+        if self.admit(accepted) {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Spawns the task that serves a connection. Returns true if another connection was evicted for the new
+    /// one and is still being closed.
+    fn admit(self: &Arc<Self>, accepted: AcceptedConnection) -> bool {
+        let AcceptedConnection { stream, arrived_at } = accepted;
         let descriptors = &self.budgets.descriptors;
         let admitted = descriptors.admit().map(|AdmittedClient { descriptor, evicted, has_evicted }| {
             (ClientSlot::Admitted { descriptor, evicted }, has_evicted)
@@ -119,7 +154,7 @@
             Some((ClientSlot::Spare { descriptor, evicted }, has_evicted))
         });
         let Some((slot, has_evicted)) = slot else {
-            // Accepted only while there is room, so that this happens only if the room is gone meanwhile.
+            // Every caller has checked that there is room, without a pause since then.
             warn!("no descriptor for a client; closing its connection");
             return false;
         };
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -233,3 +233,18 @@
     assert_eq!(evicted(budget.admit(1000.0)), Some(admitted[0]), "the client may still read its response");
     assert_eq!(evicted(budget.admit(1050.0)), Some(admitted[1]));
 }
+
+// Guards against a connection that is evicted before its request, which arrived with it, has been read.
+#[test]
+fn a_connection_that_has_just_been_accepted_is_not_evicted_for_the_next_one() {
+    let mut budget = DescriptorBudget::new(16);
+    let mut admitted = Vec::new();
+    while let DescriptorGrant::Admitted(id) = budget.admit(0.0) {
+        budget.set_state(id, ConnectionState::Open, 0.0);
+        admitted.push(id);
+    }
+    budget.remove(admitted[0]);
+    assert!(matches!(budget.admit(1000.0), DescriptorGrant::Admitted(_)));
+    assert_eq!(budget.admit(1001.0), DescriptorGrant::Full);
+    assert!(matches!(budget.admit(1020.0), DescriptorGrant::Evicting { .. }));
+}
