Soak: kill at the earliest time, signals in series, and crowds of idle clients

The soak let every process exit by itself and sent each signal once. A second generator draws the three, so that the other values of a seed stay. Runs without a kill keep the check that a gateway exits in time.

--- a/fault-tests/src/process.rs
+++ b/fault-tests/src/process.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 /// Time limit for the start of a gateway process, and for its exit.
-const START_OR_EXIT_TIMEOUT: Duration = Duration::from_secs(30);
+pub const START_OR_EXIT_TIMEOUT: Duration = Duration::from_secs(30);
 /// Log lines of a process that are kept; older lines are dropped.
 const MAX_LOG_LINES: usize = 200;
 
--- a/fault-tests/src/soak/clients.rs
+++ b/fault-tests/src/soak/clients.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use ternstack_gateway::http1::{CompleteMessage, Reader, StatusLine, MAX_BODY_BYTES};
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -21,6 +21,22 @@
 /// Time that a client waits beyond its timeout, so that a late response is recorded.
 const LATE_RESPONSE_WAIT: Duration = Duration::from_secs(2);
 
+/// Pause of an idle client before it connects again.
+const CROWD_RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Connects to a gateway, sends nothing, and connects again whenever the gateway closes the connection.
+pub async fn stay_idle(address: SocketAddr, shutdown: Arc<ShutdownState>) {
+    while !shutdown.clients_stopped.load(Relaxed) {
+        if !shutdown.connects_stopped.load(Relaxed) {
+            if let Ok(Ok(mut stream)) = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+                // Returns once the gateway closes the connection, or after a while.
+                let _ = timeout(CONNECT_TIMEOUT, stream.read(&mut [0; 16])).await;
+            }
+        }
+        sleep(CROWD_RECONNECT_PAUSE).await;
+    }
+}
+
 /// The shutdown state of a gateway, shared with the gateway's clients.
 #[derive(Debug, Default)]
 pub struct ShutdownState {
--- a/fault-tests/src/soak/plan.rs
+++ b/fault-tests/src/soak/plan.rs
@@ -6,6 +6,11 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
+/// The number of idle clients of a crowd, more than a gateway of the site has descriptors.
+const CROWD_CLIENTS: usize = 300;
+/// A number that makes the generator of a plan's end another one than that of its begin.
+const END_SEED: u64 = 0x656e_6421;
+
 /// The plan of a soak run: a site, the faults to inject, and the phases of the injection.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -25,6 +30,12 @@
     pub service: Duration,
     /// Whether gateway 0 is killed and restarted in the service phase.
     pub kills: bool,
+    /// Number of idle clients per gateway, which connect again whenever they are disconnected.
+    pub crowd: usize,
+    /// Whether signals come in series: several reloads, and further signals after SIGTERM.
+    pub has_signal_series: bool,
+    /// Whether the gateways are killed at the earliest time after SIGTERM; otherwise they exit by themselves.
+    pub is_killed_at_shutdown: bool,
 }
 
 impl Plan {
@@ -32,6 +43,8 @@
     /// 3.
     pub fn draw(seed: u64, kinds: Vec<Kind>, phases: Vec<Phase>, service: Duration, large: bool) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        // A generator of its own, so that the other values of a seed stay as they were.
+        let mut end_rng = ChaCha8Rng::seed_from_u64(seed ^ END_SEED);
         let gateways = if large { rng.random_range(8..=16) } else { rng.random_range(1..=3) };
         let fault = ResponseFault::ALL[rng.random_range(0..ResponseFault::ALL.len())];
         Plan {
@@ -53,6 +66,9 @@
             clients: rng.random_range(3..8),
             service,
             kills: large,
+            crowd: if !large && end_rng.random_bool(0.25) { CROWD_CLIENTS } else { 0 },
+            has_signal_series: end_rng.random_bool(0.5),
+            is_killed_at_shutdown: end_rng.random_bool(0.5),
         }
     }
 
--- a/fault-tests/src/soak/run.rs
+++ b/fault-tests/src/soak/run.rs
@@ -1,19 +1,19 @@
 //! Plays one run of a soak: a random site through all phases of its life, with faults in some phases.
-use super::clients::{ShutdownState, SoakClient};
+use super::clients::{stay_idle, ShutdownState, SoakClient};
 use super::faults::{self, Control, InjectionMethod, Kind, Phase};
-use super::judge::{count_injected, FinishedRun, Outcome, PhaseStart};
+use super::judge::{count_injected, FinishedRun, Outcome, PhaseStart, ShutdownTimes};
 use super::plan::Plan;
 use crate::error::Error;
 use crate::history::EventKind;
 use crate::links::{ConnectionHandling, Link, LinkFaults};
-use crate::process::Launch;
+use crate::process::{Launch, START_OR_EXIT_TIMEOUT};
 use crate::site::Site;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// Time limit for gateways to follow discovery to a new address, counted from the end of [`RELOAD_DURATION`].
 const RELOAD_TIMEOUT: Duration = Duration::from_secs(4);
@@ -21,6 +21,12 @@
 const CONNECTS_AFTER_SIGTERM: Duration = Duration::from_millis(300);
 /// Time by which an exit may take longer than the client timeout.
 const EXIT_MARGIN: Duration = Duration::from_millis(2500);
+/// Time after SIGTERM at which SIGKILL comes, beyond the longest deadline.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The longest deadline that delays SIGKILL.
+const MAX_KILL_DELAY: Duration = Duration::from_secs(3);
+/// Number of signals of the same kind that come in series.
+const SIGNALS_IN_SERIES: usize = 3;
 /// Time for which the faults of the start phase continue after all gateways serve.
 const START_FAULT_DURATION: Duration = Duration::from_millis(300);
 /// Time after the restart of a gateway in which links close the connections that the links accepted before.
@@ -95,8 +101,15 @@
     let lag = HarnessLag::measure();
     let shutdowns: Vec<Arc<ShutdownState>> = (0..plan.site.gateways).map(|_| Arc::default()).collect();
     let mut clients = start_clients(&site, plan, &shutdowns);
-    let mut run =
-        Run { plan, site, controls, standstill_count: 0, violations: Vec::new(), phase_starts: Vec::new() };
+    let mut run = Run {
+        plan,
+        site,
+        controls,
+        standstill_count: 0,
+        violations: Vec::new(),
+        phase_starts: Vec::new(),
+        shutdown_times: None,
+    };
     run.play_phases(&shutdowns).await?;
     while clients.join_next().await.is_some() {}
     run.finish(lag.max_lag_ms.load(Relaxed)).judge()
@@ -125,6 +138,9 @@
             };
             clients.spawn(client.run());
         }
+        for _ in 0..plan.crowd {
+            clients.spawn(stay_idle(site.gateways[gateway].address, shutdown.clone()));
+        }
     }
     clients
 }
@@ -137,6 +153,7 @@
     standstill_count: u64,
     violations: Vec<String>,
     phase_starts: Vec<PhaseStart>,
+    shutdown_times: Option<ShutdownTimes>,
 }
 
 impl<'a> Run<'a> {
@@ -214,7 +231,10 @@
             let old = std::mem::replace(&mut self.site.to_discovery[gateway], link);
             old.set(LinkFaults { connection_handling: ConnectionHandling::Refused, ..LinkFaults::default() });
             old.reset();
-            self.site.gateways[gateway].reload(&self.site.gateway_config(gateway))?;
+            let reloads = if self.plan.has_signal_series { SIGNALS_IN_SERIES } else { 1 };
+            for _ in 0..reloads {
+                self.site.gateways[gateway].reload(&self.site.gateway_config(gateway))?;
+            }
         }
         self.spend(Phase::Reload, RELOAD_DURATION).await;
         let until = Instant::now() + RELOAD_TIMEOUT;
@@ -255,20 +275,31 @@
         }
         self.inject(Phase::Shutdown, true)?;
         let sigterm_at = Instant::now();
-        for gateway in &self.site.gateways {
-            // A gateway that has already exited cannot be signalled, and is recorded as crashed above.
-            let _ = gateway.send_sigterm();
-        }
+        let sigterm_at_us = self.site.recorder.now_us();
+        self.send_sigterm();
         sleep(CONNECTS_AFTER_SIGTERM).await;
         shutdowns.iter().for_each(|shutdown| shutdown.connects_stopped.store(true, Relaxed));
         let standstills_before = self.standstill_count;
         self.spend(Phase::Shutdown, SHUTDOWN_FAULT_DURATION).await;
         let stopped = self.stopped_time(self.standstill_count - standstills_before);
-        let limit = self.plan.site.client_timeout + EXIT_MARGIN + stopped;
-        self.await_exits().await;
-        if sigterm_at.elapsed() > limit {
-            let elapsed = sigterm_at.elapsed();
-            self.violations.push(format!("Exit: the gateways took {elapsed:?}, expected at most {limit:?}"));
+        if self.plan.is_killed_at_shutdown {
+            // A process that was stopped could do nothing meanwhile, so that its kill comes later.
+            let longest_deadline = self.plan.site.client_timeout.min(MAX_KILL_DELAY);
+            self.await_exits_until(sigterm_at + longest_deadline + KILL_MARGIN + stopped).await;
+            let killed_at_us = self.site.recorder.now_us();
+            self.shutdown_times = Some(ShutdownTimes { sigterm_at_us, killed_at_us });
+            for gateway in &mut self.site.gateways {
+                // A gateway that has exited cannot be killed.
+                let _ = gateway.kill().await;
+            }
+        } else {
+            let limit = self.plan.site.client_timeout + EXIT_MARGIN + stopped;
+            self.await_exits_until(sigterm_at + START_OR_EXIT_TIMEOUT).await;
+            if sigterm_at.elapsed() > limit {
+                let elapsed = sigterm_at.elapsed();
+                self.violations
+                    .push(format!("Exit: the gateways took {elapsed:?}, expected at most {limit:?}"));
+            }
         }
         shutdowns.iter().for_each(|shutdown| shutdown.clients_stopped.store(true, Relaxed));
         Ok(())
@@ -283,14 +314,29 @@
         lengths.sum()
     }
 
-    async fn await_exits(&mut self) {
+    /// Sends SIGTERM to all gateways, and further signals if they come in series.
+    fn send_sigterm(&self) {
+        let repeats = if self.plan.has_signal_series { SIGNALS_IN_SERIES } else { 1 };
+        for (number, gateway) in self.site.gateways.iter().enumerate() {
+            for _ in 0..repeats {
+                // A gateway that has already exited cannot be signalled, and is recorded as crashed.
+                let _ = gateway.send_sigterm();
+                if self.plan.has_signal_series {
+                    let _ = gateway.reload(&self.site.gateway_config(number));
+                }
+            }
+        }
+    }
+
+    /// Waits until all gateways have exited by themselves, at most until `kill_at`.
+    async fn await_exits_until(&mut self, kill_at: Instant) {
         for (number, gateway) in self.site.gateways.iter_mut().enumerate() {
-            match gateway.wait_for_exit().await {
-                Ok(Some(0)) => {}
-                Ok(code) => self
+            match timeout_at(kill_at, gateway.wait_for_exit()).await {
+                Ok(Ok(Some(0))) | Err(_) => {}
+                Ok(Ok(code)) => self
                     .violations
                     .push(format!("Exit: gateway {number} exited with code {code:?}, expected 0")),
-                Err(error) => self.violations.push(format!("Exit: gateway {number}: {error}")),
+                Ok(Err(error)) => self.violations.push(format!("Exit: gateway {number}: {error}")),
             }
         }
     }
@@ -303,6 +349,7 @@
             standstill_count: self.standstill_count,
             violations: self.violations,
             phase_starts: self.phase_starts,
+            shutdown_times: self.shutdown_times,
             harness_lag_ms,
         }
     }
