Accept an evicted request that was complete, and reserve little for short bodies

Two gaps of the memory budget, found by reading it again. A request whose last bytes had arrived when its holder was evicted is forwarded, but its bytes counted as released soon, so that nobody else was evicted for those who waited; it now counts as accepted, and a waiting reservation evicts another one (an_evicted_request_that_was_complete_already_is_accepted_and_another_one_is_evicted, which does not pass without the change). And a short chunked response took 130 KiB of the budget at once; it now takes 16 KiB, and small messages are those up to 6 KiB with their buffers.

--- a/fault-tests/src/hostile/kind.rs
+++ b/fault-tests/src/hostile/kind.rs
@@ -9,6 +9,8 @@
 const BODY_BYTES: usize = 60 * 1024;
 /// The size of the incomplete heads, a little less than the largest head that a gateway accepts.
 const HEAD_BYTES: usize = 15 * 1024;
+/// The size of incomplete heads that fit into the memory which each connection has.
+const SMALL_HEAD_BYTES: usize = 4000;
 /// The size of a chunk of a chunked body.
 const CHUNK_BYTES: usize = 1024;
 /// The number of bytes that a flooding client writes at once.
@@ -29,6 +31,8 @@
 pub enum HostileKind {
     /// Each client sends most of a large head and stays.
     HalfHead,
+    /// Each client sends a part of a head that is too small for a reservation of memory, and stays.
+    HalfSmallHead,
     /// Each client sends a head of thousands of short fields without an end and stays.
     ManyFields,
     /// Each client sends most of a large body and stays.
@@ -57,8 +61,9 @@
 
 impl HostileKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [HostileKind; 13] = [
+    pub const ALL: [HostileKind; 14] = [
         HostileKind::HalfHead,
+        HostileKind::HalfSmallHead,
         HostileKind::ManyFields,
         HostileKind::HalfBody,
         HostileKind::HalfChunkedBody,
@@ -127,6 +132,10 @@
                 let head = format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(HEAD_BYTES));
                 self.write_and_stay(&mut stream, head.as_bytes()).await
             }
+            HostileKind::HalfSmallHead => {
+                let head = format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(SMALL_HEAD_BYTES));
+                self.write_and_stay(&mut stream, head.as_bytes()).await
+            }
             HostileKind::ManyFields => {
                 let head = format!("GET /api HTTP/1.1\r\n{}", "a:b\r\n".repeat(HEAD_BYTES / 5));
                 self.write_and_stay(&mut stream, head.as_bytes()).await
--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -8,6 +8,8 @@
 const INITIAL_BUFFER_BYTES: usize = 2048;
 /// The minimum free space in the buffer before each read, unless less is missing in the message.
 const MIN_READ_BYTES: usize = 512;
+/// A body without a stated length counts as short up to this memory.
+const SHORT_BODY_BYTES: usize = 16 * 1024;
 /// The maximum number of interim responses before a final response.
 const MAX_INTERIM_RESPONSES: usize = 16;
 /// The number of already scanned bytes that the end of a head, `\r\n\r\n`, can include.
@@ -132,11 +134,16 @@
         buffer_bytes + self.partial.as_ref().map_or(0, |partial| partial.memory_bytes(buffer_bytes))
     }
 
-    /// Returns the most memory that the message which is being received can take until it is complete.
+    /// Returns the memory that the message which is being received can take until it is complete. A body
+    /// without a stated length counts as short until it is not.
     pub fn max_memory_bytes(&self) -> usize {
         let Some(partial) = &self.partial else { return MAX_HEAD_BYTES };
         let body_bytes = match &partial.framing {
             Framing::Length(length) => *length,
+            // Most bodies without a stated length are short.
+            Framing::Chunked(_) | Framing::UntilClose if self.memory_bytes() <= SHORT_BODY_BYTES => {
+                SHORT_BODY_BYTES
+            }
             // The buffer doubles when it grows.
             Framing::Chunked(_) | Framing::UntilClose => 2 * self.max_body_bytes,
         };
--- a/gateway/src/memory_budget.rs
+++ b/gateway/src/memory_budget.rs
@@ -16,7 +16,7 @@
 /// its entries in tables.
 const CONNECTION_BYTES: u64 = 8 << 10;
 /// A message up to this size is covered by [`CONNECTION_BYTES`] and reserves nothing.
-pub const SMALL_MESSAGE_BYTES: usize = 4 << 10;
+pub const SMALL_MESSAGE_BYTES: usize = 6 << 10;
 /// The largest share of the memory beyond [`BASE_BYTES`] that connections may take with small messages alone.
 const MAX_CONNECTION_SHARE: f64 = 0.5;
 /// The share of the remaining memory that holders may reserve. The allocator needs the rest, because freed
@@ -228,10 +228,10 @@
         self.reserved_bytes + bytes <= self.reservable_bytes
     }
 
-    /// Evicts one more holder if accepted work waits for more bytes than are being released. Returns the
+    /// Evicts one more holder if the waiting reservations need more bytes than are being released. Returns the
     /// evicted holder.
     pub fn evict_for_waiting(&mut self, now_ms: f64) -> Option<HolderId> {
-        if self.waiting_accepted.ids.is_empty() || self.is_freed_soon(0) {
+        if self.is_freed_soon(0) {
             return None;
         }
         let victim = self.victim(now_ms)?;
@@ -280,11 +280,16 @@
         self.index(id);
     }
 
-    /// Records that the holder's bytes are now needed for `work`. Does nothing for an evicted holder.
+    /// Records that the holder's bytes are now needed for `work`. A holder that was evicted is not evicted any
+    /// more if its request has been accepted meanwhile, because its bytes will not be released soon.
     pub fn set_work(&mut self, id: HolderId, work: Work, now_ms: f64) {
         self.cancel_waiting(id);
         self.unindex(id);
-        if let Some(holder) = self.holders.get_mut(&id).filter(|holder| !holder.is_evicted) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            if holder.is_evicted && work == Work::Accepted {
+                holder.is_evicted = false;
+                self.evicted_bytes -= holder.bytes;
+            }
             (holder.work, holder.since_ms) = (work, now_ms);
         }
         self.index(id);
--- a/gateway/tests/memory_budget.rs
+++ b/gateway/tests/memory_budget.rs
@@ -89,6 +89,20 @@
     assert_eq!(budget.next_granted(), Some(response));
 }
 
+#[test]
+fn an_evicted_request_that_was_complete_already_is_accepted_and_another_one_is_evicted() {
+    let mut budget = MemoryBudget::new(100 * KIB);
+    let (second, largest) = (incomplete(&mut budget, 45 * KIB), incomplete(&mut budget, 50 * KIB));
+    let newcomer = budget.open(Work::IncompleteRequest, 0.0);
+    assert_eq!(budget.reserve(newcomer, 20 * KIB, 1.0), Reservation::Waiting { evicted: Some(largest) });
+    budget.set_work(largest, Work::Accepted, 2.0);
+    assert_eq!(budget.next_granted(), None);
+    assert_eq!(budget.evict_for_waiting(3.0), Some(second));
+    budget.close(second);
+    assert_eq!(budget.next_granted(), Some(newcomer));
+    assert_eq!(budget.reserved_bytes(), 70 * KIB);
+}
+
 #[test]
 fn a_reservation_beyond_the_whole_budget_is_denied() {
     let mut budget = MemoryBudget::new(100 * KIB);
