Split the response to a request out of the client connection's task

Fields::bytes, unused since correlation ids are hashes, is gone; two tests of the descriptor budget share their begin.

--- a/gateway/src/http1/fields.rs
+++ b/gateway/src/http1/fields.rs
@@ -64,11 +64,6 @@
         self.get(name).and_then(|value| std::str::from_utf8(value).ok())
     }
 
-    /// Returns a copy of the first value of a field. The copy does not keep the head in memory.
-    pub fn bytes(&self, name: &str) -> Option<Bytes> {
-        self.get(name).map(Bytes::copy_from_slice)
-    }
-
     /// Returns all fields as pairs of name and value, in the order received.
     pub fn iter(&self) -> impl Iterator<Item = (&[u8], &[u8])> {
         self.spans.iter().map(|field| (self.span(&field.name), self.span(&field.value)))
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod pacing;
 mod request;
+mod responding;
 
 use crate::budget::ConnectionState;
 use crate::budgets::Budgets;
--- a/gateway/tests/budget.rs
+++ b/gateway/tests/budget.rs
@@ -215,14 +215,20 @@
     );
 }
 
-#[test]
-fn a_connection_that_waits_for_its_clients_close_is_evicted_first() {
+/// Returns a budget whose client connections all have open requests, with their numbers.
+fn full_budget() -> (DescriptorBudget, Vec<ClientId>) {
     let mut budget = DescriptorBudget::new(16);
     let mut admitted = Vec::new();
     while let DescriptorGrant::Admitted(id) = budget.admit(0.0) {
         budget.set_state(id, ConnectionState::Open, 0.0);
         admitted.push(id);
     }
+    (budget, admitted)
+}
+
+#[test]
+fn a_connection_that_waits_for_its_clients_close_is_evicted_first() {
+    let (mut budget, admitted) = full_budget();
     budget.set_state(admitted[0], ConnectionState::Idle, 0.0);
     budget.set_state(admitted[1], ConnectionState::Lingering, 950.0);
     assert!(budget.has_room_for_client(1000.0));
@@ -237,12 +243,7 @@
 // Guards against a connection that is evicted before its request, which arrived with it, has been read.
 #[test]
 fn a_connection_that_has_just_been_accepted_is_not_evicted_for_the_next_one() {
-    let mut budget = DescriptorBudget::new(16);
-    let mut admitted = Vec::new();
-    while let DescriptorGrant::Admitted(id) = budget.admit(0.0) {
-        budget.set_state(id, ConnectionState::Open, 0.0);
-        admitted.push(id);
-    }
+    let (mut budget, admitted) = full_budget();
     budget.remove(admitted[0]);
     assert!(matches!(budget.admit(1000.0), DescriptorGrant::Admitted(_)));
     assert_eq!(budget.admit(1001.0), DescriptorGrant::Full);
