--- a/fault-tests/src/hostile/kind.rs
+++ b/fault-tests/src/hostile/kind.rs
@@ -5,6 +5,8 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{sleep, timeout, Instant};
 
+/// A request that gets an error, after which the gateway closes the connection.
+const MALFORMED_REQUEST: &[u8] = b"GET /api HTTP/1.1\r\n no field\r\n\r\n";
 /// The size of the incomplete bodies, a little less than the largest body that the protocol permits.
 const BODY_BYTES: usize = 60 * 1024;
 /// The size of the incomplete heads, a little less than the largest head that a gateway accepts.
@@ -13,6 +15,8 @@
 const SMALL_HEAD_BYTES: usize = 4000;
 /// The size of a chunk of a chunked body.
 const CHUNK_BYTES: usize = 1024;
+/// The number of requests that a pipelining client sends at once.
+const PIPELINED_REQUESTS: usize = 200;
 /// The number of bytes that a flooding client writes at once.
 const FLOOD_WRITE_BYTES: usize = 32 * 1024;
 /// The receive buffer of a client that reads no responses, so that the responses stay at the gateway.
@@ -55,13 +59,15 @@
     SerialFlood,
     /// One client sends requests for unknown paths at full speed.
     UnknownPathFlood,
+    /// One client sends malformed requests at full speed, each on a new connection.
+    ReconnectFlood,
     /// One client sends a large body one byte at a time at full speed.
     ByteFlood,
 }
 
 impl HostileKind {
     /// All kinds, in the order of the table.
-    pub const ALL: [HostileKind; 14] = [
+    pub const ALL: [HostileKind; 15] = [
         HostileKind::HalfHead,
         HostileKind::HalfSmallHead,
         HostileKind::ManyFields,
@@ -75,6 +81,7 @@
         HostileKind::RequestFlood,
         HostileKind::SerialFlood,
         HostileKind::UnknownPathFlood,
+        HostileKind::ReconnectFlood,
         HostileKind::ByteFlood,
     ];
 
@@ -89,8 +96,8 @@
 
     /// Returns whether the kind is one or some clients that send at full speed.
     pub fn is_flood(self) -> bool {
-        use HostileKind::{ByteFlood, RequestFlood, SerialFlood, UnknownPathFlood};
-        matches!(self, RequestFlood | SerialFlood | UnknownPathFlood | ByteFlood)
+        use HostileKind::{ByteFlood, ReconnectFlood, RequestFlood, SerialFlood, UnknownPathFlood};
+        matches!(self, RequestFlood | SerialFlood | UnknownPathFlood | ReconnectFlood | ByteFlood)
     }
 }
 
@@ -127,30 +134,10 @@
     async fn attack(&self, round: usize) -> std::io::Result<()> {
         let mut stream = self.connect().await?;
         let id = format!("hostile-{}-{round}", self.number);
+        if let Some(incomplete) = self.incomplete_request(&id) {
+            return self.write_and_stay(&mut stream, incomplete.as_bytes()).await;
+        }
         match self.kind {
-            HostileKind::HalfHead => {
-                let head = format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(HEAD_BYTES));
-                self.write_and_stay(&mut stream, head.as_bytes()).await
-            }
-            HostileKind::HalfSmallHead => {
-                let head = format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(SMALL_HEAD_BYTES));
-                self.write_and_stay(&mut stream, head.as_bytes()).await
-            }
-            HostileKind::ManyFields => {
-                let head = format!("GET /api HTTP/1.1\r\n{}", "a:b\r\n".repeat(HEAD_BYTES / 5));
-                self.write_and_stay(&mut stream, head.as_bytes()).await
-            }
-            HostileKind::HalfBody => {
-                let body = "b".repeat(BODY_BYTES - 1);
-                let request = format!("{}Content-Length: {BODY_BYTES}\r\n\r\n{body}", post_head(&id));
-                self.write_and_stay(&mut stream, request.as_bytes()).await
-            }
-            HostileKind::HalfChunkedBody => {
-                let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "c".repeat(CHUNK_BYTES));
-                let chunks = chunk.repeat(BODY_BYTES / CHUNK_BYTES);
-                let request = format!("{}Transfer-Encoding: chunked\r\n\r\n{chunks}", post_head(&id));
-                self.write_and_stay(&mut stream, request.as_bytes()).await
-            }
             HostileKind::SlowWriter => self.write_slowly(&mut stream, &id).await,
             HostileKind::SlowReader => {
                 stream.write_all(get(&id, "acme").as_bytes()).await?;
@@ -158,10 +145,6 @@
                 Ok(())
             }
             HostileKind::MalformedAndStay => self.send_malformed(&mut stream).await,
-            HostileKind::Pipeline => {
-                let requests: String = (0..200).map(|n| get(&format!("{id}-{n}"), "acme")).collect();
-                self.write_and_stay(&mut stream, requests.as_bytes()).await
-            }
             HostileKind::Abandon => {
                 let body = "b".repeat(BODY_BYTES);
                 let request = format!("{}Content-Length: {BODY_BYTES}\r\n\r\n{body}", post_head(&id));
@@ -169,18 +152,57 @@
                 sleep(ABANDON_AFTER).await;
                 Ok(())
             }
-            HostileKind::RequestFlood | HostileKind::UnknownPathFlood => self.flood(stream, &id).await,
             HostileKind::SerialFlood => self.send_serially(&mut stream, &id).await,
-            HostileKind::ByteFlood => {
-                stream
-                    .write_all(format!("{}Content-Length: 65536\r\n\r\n", post_head(&id)).as_bytes())
-                    .await?;
-                while Instant::now() < self.until {
-                    stream.write_all(b"b").await?;
-                }
-                Ok(())
+            HostileKind::ReconnectFlood => self.reconnect(stream).await,
+            HostileKind::ByteFlood => self.send_bytes(&mut stream, &id).await,
+            _ => self.flood(stream, &id).await,
+        }
+    }
+
+    /// Returns what a client of the kinds that stop in the middle sends; `None` for the other kinds.
+    fn incomplete_request(&self, id: &str) -> Option<String> {
+        match self.kind {
+            HostileKind::HalfHead => {
+                Some(format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(HEAD_BYTES)))
             }
+            HostileKind::HalfSmallHead => {
+                Some(format!("GET /api HTTP/1.1\r\nX-Facts: {}", "a".repeat(SMALL_HEAD_BYTES)))
+            }
+            HostileKind::ManyFields => {
+                Some(format!("GET /api HTTP/1.1\r\n{}", "a:b\r\n".repeat(HEAD_BYTES / 5)))
+            }
+            HostileKind::HalfBody => {
+                let body = "b".repeat(BODY_BYTES - 1);
+                Some(format!("{}Content-Length: {BODY_BYTES}\r\n\r\n{body}", post_head(id)))
+            }
+            HostileKind::HalfChunkedBody => {
+                let chunk = format!("{CHUNK_BYTES:x}\r\n{}\r\n", "c".repeat(CHUNK_BYTES));
+                let chunks = chunk.repeat(BODY_BYTES / CHUNK_BYTES);
+                Some(format!("{}Transfer-Encoding: chunked\r\n\r\n{chunks}", post_head(id)))
+            }
+            HostileKind::Pipeline => {
+                Some((0..PIPELINED_REQUESTS).map(|n| get(&format!("{id}-{n}"), "acme")).collect())
+            }
+            _ => None,
+        }
+    }
+
+    /// Sends malformed requests at full speed, each on a new connection.
+    async fn reconnect(&self, mut stream: TcpStream) -> std::io::Result<()> {
+        while Instant::now() < self.until {
+            stream.write_all(MALFORMED_REQUEST).await?;
+            stream = self.connect().await?;
         }
+        Ok(())
+    }
+
+    /// Sends a large body one byte at a time at full speed.
+    async fn send_bytes(&self, stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        stream.write_all(format!("{}Content-Length: 65536\r\n\r\n", post_head(id)).as_bytes()).await?;
+        while Instant::now() < self.until {
+            stream.write_all(b"b").await?;
+        }
+        Ok(())
     }
 
     /// Waits until the attack ends.
@@ -215,7 +237,7 @@
 
     /// Sends a malformed request and, while the gateway still reads, a byte from time to time.
     async fn send_malformed(&self, stream: &mut TcpStream) -> std::io::Result<()> {
-        stream.write_all(b"GET /api HTTP/1.1\r\n no field\r\n\r\n").await?;
+        stream.write_all(MALFORMED_REQUEST).await?;
         while Instant::now() < self.until {
             stream.write_all(b"x").await?;
             sleep(SLOW_WRITE_PAUSE).await;
