Keep a quarter of the reservable memory for responses

Requests that had been taken on could fill the whole budget while their hosts hang, so that large responses to others waited for memory until their deadline.

--- a/gateway/src/memory_budget.rs
+++ b/gateway/src/memory_budget.rs
@@ -24,6 +24,9 @@
 const RESERVABLE_SHARE: f64 = 0.75;
 /// The largest share of the memory limit that holders may reserve.
 const MAX_RESERVABLE_SHARE: f64 = 0.5;
+/// The share of the reservable bytes up to which incomplete requests may grow. The rest is kept for responses,
+/// so that requests which have been taken on do not wait for each other.
+const MAX_INCOMPLETE_SHARE: f64 = 0.75;
 /// A response is evicted only if the client has not read it for this long.
 const MIN_UNREAD_MS: f64 = 500.0;
 
@@ -165,7 +168,7 @@
     /// [`MemoryBudget::next_granted`]. A holder has at most one waiting reservation.
     pub fn reserve(&mut self, id: HolderId, bytes: usize, now_ms: f64) -> Reservation {
         let Some(holder) = self.holders.get(&id).copied() else { return Reservation::Denied };
-        if holder.is_evicted || bytes > self.reservable_bytes {
+        if holder.is_evicted || bytes > self.limit_bytes(holder.work) {
             return Reservation::Denied;
         }
         if bytes <= holder.bytes {
@@ -173,7 +176,7 @@
         }
         let is_first_in_line = self.waiting_accepted.ids.is_empty()
             && (holder.work != Work::IncompleteRequest || self.waiting_incomplete.ids.is_empty());
-        if is_first_in_line && self.fits(bytes - holder.bytes) {
+        if is_first_in_line && self.fits(bytes - holder.bytes, holder.work) {
             self.set_bytes(id, bytes);
             return Reservation::Granted;
         }
@@ -181,7 +184,7 @@
     }
 
     fn wait_or_deny(&mut self, id: HolderId, holder: Holder, bytes: usize, now_ms: f64) -> Reservation {
-        let is_freed_soon = self.is_freed_soon(bytes - holder.bytes);
+        let is_freed_soon = self.is_freed_soon(bytes - holder.bytes, holder.work);
         let victim = if is_freed_soon { None } else { self.victim(now_ms) };
         let is_largest = victim.is_none_or(|victim| self.bytes_of(victim) <= bytes);
         if holder.work == Work::IncompleteRequest && !is_freed_soon && is_largest {
@@ -206,11 +209,19 @@
         }
     }
 
-    /// Returns whether `bytes` more fit beside the waiting reservations once the evicted holders have released
-    /// their bytes.
-    fn is_freed_soon(&self, bytes: usize) -> bool {
+    /// Returns the number of bytes up to which reservations for `work` are granted.
+    fn limit_bytes(&self, work: Work) -> usize {
+        match work {
+            Work::IncompleteRequest => (self.reservable_bytes as f64 * MAX_INCOMPLETE_SHARE) as usize,
+            Work::Accepted | Work::UnreadResponse => self.reservable_bytes,
+        }
+    }
+
+    /// Returns whether `bytes` more for `work` fit beside the waiting reservations once the evicted holders have
+    /// released their bytes.
+    fn is_freed_soon(&self, bytes: usize, work: Work) -> bool {
         let waiting_bytes = self.waiting_accepted.missing_bytes + self.waiting_incomplete.missing_bytes;
-        self.reserved_bytes + waiting_bytes + bytes <= self.reservable_bytes + self.evicted_bytes
+        self.reserved_bytes + waiting_bytes + bytes <= self.limit_bytes(work) + self.evicted_bytes
     }
 
     /// Returns a holder to evict: the one with the largest incomplete request, or else the one with the
@@ -224,14 +235,16 @@
         incomplete.or_else(unread).map(|(_, id)| *id)
     }
 
-    fn fits(&self, bytes: usize) -> bool {
-        self.reserved_bytes + bytes <= self.reservable_bytes
+    fn fits(&self, bytes: usize, work: Work) -> bool {
+        self.reserved_bytes + bytes <= self.limit_bytes(work)
     }
 
     /// Evicts one more holder if the waiting reservations need more bytes than are being released. Returns the
     /// evicted holder.
     pub fn evict_for_waiting(&mut self, now_ms: f64) -> Option<HolderId> {
-        if self.is_freed_soon(0) {
+        let work =
+            if self.waiting_incomplete.ids.is_empty() { Work::Accepted } else { Work::IncompleteRequest };
+        if self.is_freed_soon(0, work) {
             return None;
         }
         let victim = self.victim(now_ms)?;
@@ -245,7 +258,7 @@
         let id = *accepted.or_else(|| self.waiting_incomplete.ids.front())?;
         let holder = self.holders.get(&id)?;
         let bytes = holder.bytes + holder.missing_bytes();
-        if !self.fits(holder.missing_bytes()) {
+        if !self.fits(holder.missing_bytes(), holder.work) {
             return None;
         }
         self.cancel_waiting(id);
