Reject a request that arrived on a connection which is evicted as idle

Cause, by the history of the request (sent at 43.7 ms, closed at 446.7 ms, the end of the standstill) and by reading: the failed accept evicts a connection that has been silent for 250 ms, and after a standstill the runtime has not yet asked the kernel which sockets are readable. Class: a peer's silence judged by a clock that ran while the process did not.

An evicted connection now looks once more, after the runtime has asked the kernel, and rejects a request that has begun to arrive. No deterministic test: the eviction has to fall between a wake-up and the next poll of the kernel.

--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::{sleep, Instant};
 
 /// The maximum number of bytes that are buffered while a client's request is open. Further bytes are
@@ -130,6 +131,14 @@
         }
     }
 
+    /// Returns whether bytes of a request have arrived on a connection that is about to be closed as idle. After
+    /// a stall of the process, bytes may be waiting that the runtime has not noticed yet.
+    pub(super) async fn has_received_request(&mut self) -> bool {
+        // Lets the runtime ask the kernel which sockets are readable.
+        yield_now().await;
+        matches!(sockets::read_now(&self.stream, self.reader.buffer()), ReceivedNow::Bytes(_))
+    }
+
     /// Reads what the kernel has received behind a request. Returns false if the client has disconnected, in
     /// the sense of [`ClientInput::disconnected`].
     ///
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -186,6 +186,9 @@
     /// at the same time would be answered by a TCP reset.
     async fn close_idle(mut self) -> io::Result<()> {
         let is_evicted = self.slot.is_evicted();
+        if is_evicted && self.input.has_received_request().await {
+            return self.close_evicted(CloseReason::Descriptor).await;
+        }
         // Another client can use the descriptor of the budget while the connection lingers.
         drop(self.slot);
         debug!(is_evicted, phase = ?self.frontend.phase(), "closing idle connection");
