review 7: a restarted gateway goes on with its old list while discovery is down

With pushed lists, what discovery has counts as told from the first moment of a new process; the gateway sends to a draining server until discovery is up again.

--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -289,7 +289,7 @@
 pub struct Discovery {
     pub address: SocketAddr,
     listing: Arc<(Mutex<Listing>, Condvar)>,
-    delay_ms: Arc<AtomicU64>,
+    is_down: Arc<AtomicBool>,
     record: Record,
 }
 
@@ -297,8 +297,8 @@
     pub fn start(record: &Record, entries: Vec<Entry>) -> io::Result<Discovery> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let listing = Arc::new((Mutex::new(Listing { revision: 1, entries }), Condvar::new()));
-        let (address, delay_ms) = (listener.local_addr()?, Arc::default());
-        let discovery = Discovery { address, listing, delay_ms, record: record.clone() };
+        let (address, is_down) = (listener.local_addr()?, Arc::default());
+        let discovery = Discovery { address, listing, is_down, record: record.clone() };
         let serving = discovery.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -321,7 +321,9 @@
                     query.split('&').filter_map(|pair| pair.split_once('=')).find(|(key, _)| *key == name);
                 pair.and_then(|(_, value)| value.parse::<u64>().ok())
             };
-            sleep_ms(self.delay_ms.load(Ordering::SeqCst));
+            while self.is_down.load(Ordering::SeqCst) {
+                sleep_ms(5);
+            }
             let body = self.answer(number("after"), number("wait_ms").unwrap_or(0).min(60_000));
             write!(writer, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())?;
             if !body.ends_with("\"targets\":[]}") {
@@ -342,9 +344,10 @@
         listing.json(after)
     }
 
-    /// Lets every call take longer from now on.
-    pub fn delay(&self, delay_ms: u64) {
-        self.delay_ms.store(delay_ms, Ordering::SeqCst);
+    /// Takes discovery down, or up again. While it is down, calls get no answer.
+    pub fn set_down(&self, is_down: bool) {
+        self.record.line(if is_down { "discovery is down" } else { "discovery is up" });
+        self.is_down.store(is_down, Ordering::SeqCst);
     }
 
     /// Changes the entry of a server, or adds one.
