--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -51,6 +51,7 @@
 #[derive(Default)]
 struct Findings {
     broken: Vec<String>,
+    spliced: usize,
     answered: usize,
     refused: usize,
     failed: usize,
@@ -85,6 +86,7 @@
                     format!("server {number} got a request that nobody sent: {request:?}"),
                 );
             } else if request.body != body_of(&id) {
+                findings.lock().unwrap().spliced += 1;
                 let text = String::from_utf8_lossy(&request.body).replace('\r', "\\r").replace('\n', "\\n");
                 broken(
                     &record,
@@ -129,9 +131,9 @@
         broken(&setup.record, &findings, format!("the gateway has ended: {end}"));
     }
     let found = findings.lock().unwrap();
-    let Findings { answered, refused, failed, resent, .. } = *found;
+    let Findings { answered, refused, failed, resent, spliced, .. } = *found;
     let summary = format!(
-        "served {answered}, refused {refused}, failed {failed}, sent once more {resent}, broken {}",
+        "served {answered}, refused {refused}, failed {failed}, sent once more {resent}, broken {}, of these attempts with a body that nobody sent {spliced}",
         found.broken.len()
     );
     setup.record.line(&summary);
