--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -9,8 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+const GATEWAY_COUNT: usize = 3;
 const SERVER_COUNT: usize = 4;
-const CLIENT_COUNT: usize = 6;
+const CLIENT_COUNT: usize = 9;
 const TIME_LEFT_MS: u64 = 2000;
 /// How long discovery is down.
 const DOWN_MS: u64 = 8000;
@@ -19,13 +20,17 @@
 /// The time after which nothing new goes to a server that drains, with the bench's slack.
 const GRACE: Duration = Duration::from_millis(2050);
 
-const SETTINGS: &str = r#""seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-"settings":{"classes":[
- {"name":"availability","effect":"safe","aim_ms":1200,"deadline_ms":5000,"late_value":0.2,"group":"all","window_ms":5000}],
- "instances":1,"me":0,"zone":"ba-east","zones":["ba-east"],"discovery":"push","weights":"off","tick_ms":5,
- "limits":{"max_attempts":3,"conn_idle_ms":30000,"dial_timeout_ms":250,"max_open":20000,"cancel":true},
- "report":{"how":"off"},
- "safety":{"drain_grace_ms":2000,"ask_within_ms":10000,"cold_share":0.3,"cold_ms":9000,"tip_multiple":3}}"#;
+fn settings(index: usize) -> String {
+    format!(
+        r#""seed":"8c1f30d27a5be96{index}","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024}},
+"settings":{{"classes":[
+ {{"name":"availability","effect":"safe","aim_ms":1200,"deadline_ms":5000,"late_value":0.2,"group":"all","window_ms":5000}}],
+ "instances":{GATEWAY_COUNT},"me":{index},"zone":"ba-east","zones":["ba-east"],"discovery":"push","weights":"off","tick_ms":5,
+ "limits":{{"max_attempts":3,"conn_idle_ms":30000,"dial_timeout_ms":250,"max_open":20000,"cancel":true}},
+ "report":{{"how":"off"}},
+ "safety":{{"drain_grace_ms":2000,"ask_within_ms":10000,"cold_share":0.3,"cold_ms":9000,"tip_multiple":3}}}}"#
+    )
+}
 
 fn main() {
     run_case(run)
@@ -55,17 +60,21 @@
     }
     let entry = |i: usize| Entry::new(&format!("s-{i}"), servers[i].address, "ba-east");
     let discovery = Discovery::start(&setup.record, (0..SERVER_COUNT).map(entry).collect())?;
-    let config =
-        format!("\"discovery\":\"{}\",\"known\":{},{SETTINGS}", discovery.address, discovery.known());
-    let mut gateway = Gateway::start(setup, "gateway-1", &config)?;
-    if !gateway.wait_ready() {
+    let mut gateways = (0..GATEWAY_COUNT)
+        .map(|index| {
+            let (address, known) = (discovery.address, discovery.known());
+            let config = format!("\"discovery\":\"{address}\",\"known\":{known},{}", settings(index));
+            Gateway::start(setup, &format!("gateway-{index}"), &config)
+        })
+        .collect::<std::io::Result<Vec<_>>>()?;
+    if !gateways.iter().all(Gateway::wait_ready) {
         return Ok(Verdict::CouldNotRun);
     }
     let stops = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..CLIENT_COUNT)
-        .map(|_| {
-            let (record, served, stops, address) =
-                (setup.record.clone(), served.clone(), stops.clone(), gateway.address);
+        .map(|number| {
+            let (record, served, stops) = (setup.record.clone(), served.clone(), stops.clone());
+            let address = gateways[number % GATEWAY_COUNT].address;
             std::thread::spawn(move || {
                 while !stops.load(Ordering::SeqCst) {
                     if send(address, &record).is_ok_and(|status| status == 200) {
@@ -78,16 +87,16 @@
         .collect();
     sleep_ms(4000);
     if setup.trouble {
-        setup.record.line("the gateway is killed");
-        gateway.kill();
+        setup.record.line("gateway-0 is killed");
+        gateways[0].kill();
         sleep_ms(500);
         discovery.set(Entry { state: "DRAINING", ..entry(0) });
         sleep_ms(500);
         discovery.set_down(true);
         sleep_ms(AWAY_MS - 1000);
-        gateway.restart()?;
+        gateways[0].restart()?;
         *told_at.lock().unwrap() = Some(Instant::now());
-        setup.record.line("the gateway is started again");
+        setup.record.line("gateway-0 is started again");
         sleep_ms(DOWN_MS - (AWAY_MS - 1000));
         discovery.set_down(false);
         sleep_ms(3000);
