Answer every pipelined request that was read, and forward each one unchanged

Cause: `ClientInput::is_connected` and `disconnected` discarded what came behind 4 KiB and recorded nothing, so that the stream went on after the gap.

Change: all that is read behind an open request is parsed into a queue that draws on the memory budget (Work::ReadAhead, half of it, evicted first). Without memory a request is skipped, which leaves its place in the order, and is rejected in its turn. Pauses of a heavy connection come before reads only, not between requests that have been read.

--- a/gateway/src/closes.rs
+++ b/gateway/src/closes.rs
@@ -13,7 +13,7 @@
     Descriptor,
     /// The request was not complete in time.
     RequestTimeout,
-    /// The client sent more behind an open request than the gateway reads ahead.
+    /// The client sent more behind an open request than the gateway can keep or count.
     ExcessInput,
 }
 
--- a/gateway/src/http1/chunked.rs
+++ b/gateway/src/http1/chunked.rs
@@ -20,16 +20,33 @@
 pub(super) struct ChunkedBody {
     expected: Expected,
     data: BytesMut,
+    /// The length of the decoded data, including data that has been discarded.
+    data_bytes: usize,
+    discards_data: bool,
 }
 
 impl ChunkedBody {
     pub(super) fn new() -> Self {
-        ChunkedBody { expected: Expected::SizeLine, data: BytesMut::new() }
+        ChunkedBody {
+            expected: Expected::SizeLine,
+            data: BytesMut::new(),
+            data_bytes: 0,
+            discards_data: false,
+        }
+    }
+
+    /// Discards the data decoded so far and all further data. The framing is still checked.
+    pub(super) fn discard_data(&mut self) {
+        self.discards_data = true;
+        self.data = BytesMut::new();
     }
 
     /// Returns the memory of the decoded data once the next `encoded_bytes` have been decoded. The data's
     /// buffer at least doubles when it grows.
     pub(super) fn memory_bytes(&self, encoded_bytes: usize) -> usize {
+        if self.discards_data {
+            return 0;
+        }
         let needed_bytes = self.data.len() + encoded_bytes;
         if needed_bytes <= self.data.capacity() {
             self.data.capacity()
@@ -67,7 +84,10 @@
     /// Removes the received part of a chunk's data from `buffer`. Returns true once the chunk is complete.
     fn take_data(&mut self, buffer: &mut BytesMut, remaining_bytes: usize) -> bool {
         let part_bytes = remaining_bytes.min(buffer.len());
-        self.data.extend_from_slice(&buffer[..part_bytes]);
+        if !self.discards_data {
+            self.data.extend_from_slice(&buffer[..part_bytes]);
+        }
+        self.data_bytes += part_bytes;
         buffer.advance(part_bytes);
         let is_complete = part_bytes == remaining_bytes;
         self.expected = if is_complete {
@@ -82,7 +102,7 @@
         if size_bytes == 0 {
             return Ok(Expected::Trailer { field_count: 0 });
         }
-        if self.data.len().saturating_add(size_bytes) > max_body_bytes {
+        if self.data_bytes.saturating_add(size_bytes) > max_body_bytes {
             return Err(ParseError::BodyTooLarge);
         }
         Ok(Expected::Data { remaining_bytes: size_bytes })
--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -107,11 +107,6 @@
         &mut self.buffer
     }
 
-    /// Returns the number of received bytes that have not been parsed.
-    pub fn unparsed_bytes(&self) -> usize {
-        self.buffer.len()
-    }
-
     /// Returns the size of the buffer that the next call of [`Reader::buffer`] allocates: at least twice the
     /// received bytes, but no larger than the message needs. Returns `None` while the buffer has free space.
     fn next_allocation_bytes(&self) -> Option<usize> {
@@ -192,6 +187,54 @@
         }
     }
 
+    /// Discards the body of the message that is being received, so that the message takes no memory beyond its
+    /// head. The framing is still checked. Returns whether the connection can carry another message after this
+    /// one, once the message is complete, and `None` before.
+    ///
+    /// # Errors
+    /// Fails on bytes that are not an acceptable message. The reader cannot be used after an error.
+    pub fn skip(&mut self) -> Result<Option<bool>, ParseError> {
+        if self.partial.is_none() && !self.read_head()? {
+            return Ok(None);
+        }
+        let Some(mut partial) = self.partial.take() else { return Ok(None) };
+        if self.skip_body(&mut partial.framing)? {
+            return Ok(Some(partial.message.keep_alive));
+        }
+        self.partial = Some(partial);
+        Ok(None)
+    }
+
+    /// Discards the received part of a body. Returns whether the body is complete.
+    fn skip_body(&mut self, framing: &mut Framing) -> Result<bool, ParseError> {
+        match framing {
+            Framing::Length(length) if *length > self.max_body_bytes => Err(ParseError::BodyTooLarge),
+            Framing::Length(remaining_bytes) => {
+                let received_bytes = self.buffer.len().min(*remaining_bytes);
+                self.buffer.advance(received_bytes);
+                *remaining_bytes -= received_bytes;
+                Ok(*remaining_bytes == 0)
+            }
+            // The body ends with the connection.
+            Framing::UntilClose => {
+                self.buffer.clear();
+                Ok(false)
+            }
+            Framing::Chunked(body) => {
+                body.discard_data();
+                Ok(body.decode(&mut self.buffer, self.max_body_bytes)?.is_some())
+            }
+        }
+    }
+
+    /// Releases the part of the buffer's allocation that the received bytes do not need.
+    pub fn shrink(&mut self) {
+        if self.allocated_bytes > INITIAL_BUFFER_BYTES.max(2 * self.buffer.len()) {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+            self.allocated_bytes = self.buffer.capacity();
+        }
+    }
+
     /// Removes a head from the buffer once the head is complete. Returns whether a head was removed.
     fn read_head(&mut self) -> Result<bool, ParseError> {
         if !self.should_parse_head() {
@@ -249,11 +292,17 @@
         }
     }
 
-    /// Removes a body from the buffer. The body and the rest of the buffer share no allocation.
+    /// Removes a body from the buffer. The body and the rest of the buffer share no allocation, and the shorter
+    /// one of them is copied.
     fn take_from_buffer(&mut self, length_bytes: usize) -> Bytes {
         if length_bytes == 0 {
             return Bytes::new();
         }
+        if length_bytes < self.buffer.len() - length_bytes {
+            let body = Bytes::copy_from_slice(&self.buffer[..length_bytes]);
+            self.buffer.advance(length_bytes);
+            return body;
+        }
         let rest = BytesMut::from(&self.buffer[length_bytes..]);
         self.allocated_bytes = rest.capacity();
         let mut body = std::mem::replace(&mut self.buffer, rest);
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -1,5 +1,6 @@
-//! Reading from a client connection: the next request, and a disconnect while a request is open.
+//! Reading from a client connection until the next request is complete.
 use super::pacing::Pacer;
+use super::request_queue::{InputEnd, NextRequest, QueuedRequest, RequestQueue};
 use super::{ConnectionGuard, Frontend, ShutdownPhase};
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
 use crate::memory::{MemoryExhausted, MemoryLease};
@@ -9,22 +10,13 @@
 use crate::work_budget::{READ_COST_US, REQUEST_COST_US};
 use std::future::pending;
 use std::io;
-use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
-use tokio::time::{sleep, Instant};
-
-/// The maximum number of bytes that are buffered while a client's request is open. Further bytes are
-/// discarded, so that a disconnect is still noticed, and the connection is closed after the response.
-pub(super) const MAX_READ_AHEAD_BYTES: usize = 4 * 1024;
-/// The maximum number of bytes that are discarded while a request is open. A client that sends more counts as
-/// disconnected.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
-/// The number of bytes that are discarded between two pauses.
-const DISCARD_BATCH_BYTES: usize = 64 * 1024;
-/// The pause after each read behind an open request, so that a flooding client does not starve other clients.
-const READ_AHEAD_PAUSE: Duration = Duration::from_millis(1);
+use tokio::time::Instant;
+
+/// The maximum number of skipped requests that are rejected with one write.
+const MAX_REJECTED_AT_ONCE: usize = 64;
 
 /// The reason why no request could be read.
 #[derive(Debug, Error)]
@@ -49,17 +41,34 @@
     pub(super) lease: Option<MemoryLease>,
 }
 
+/// The next request of a client connection, or the end of its requests.
+pub(super) enum ReceivedRequest {
+    /// A complete request.
+    Complete(ArrivedRequest),
+    /// This number of complete requests in a row that have been skipped and must be rejected.
+    Skipped(usize),
+    /// The client has closed the connection, or sends no further request.
+    ClientClosed,
+}
+
 /// A client's connection with the state of its reading side.
 pub(super) struct ClientInput<'a> {
-    frontend: &'a Frontend,
+    pub(super) frontend: &'a Frontend,
     pub(super) stream: TcpStream,
     pub(super) reader: Reader<RequestLine>,
-    /// The time since which bytes that have not been parsed may have been waiting; `None` if none have been
-    /// received.
-    pub(super) waiting_since: Option<Instant>,
+    /// The complete requests that have been read and have no response yet.
+    pub(super) queue: RequestQueue,
+    /// The memory of the queued requests and of the bytes behind them, if they are large.
+    pub(super) queue_lease: Option<MemoryLease>,
+    /// Whether the request that is being received is skipped.
+    pub(super) is_skipping: bool,
+    /// The time since which the connection's first bytes may have been waiting for the accept.
+    pub(super) accepted_bytes_since: Option<Instant>,
+    /// The earliest time at which the bytes that were read last may have arrived.
+    received_at: Instant,
     /// The memory of the incomplete request, if it is large.
     lease: Option<MemoryLease>,
-    pacer: Pacer,
+    pub(super) pacer: Pacer,
 }
 
 impl<'a> ClientInput<'a> {
@@ -69,7 +78,11 @@
             frontend: &guard.frontend,
             stream,
             reader: Reader::new(MAX_BODY_BYTES),
-            waiting_since: Some(arrived_at),
+            queue: RequestQueue::default(),
+            queue_lease: None,
+            is_skipping: false,
+            accepted_bytes_since: Some(arrived_at),
+            received_at: arrived_at,
             lease: None,
             pacer: Pacer::new(guard.id),
         }
@@ -78,41 +91,116 @@
     /// Releases the memory of bytes that have been read and will not be used.
     pub(super) fn release(&mut self) {
         self.reader = Reader::new(MAX_BODY_BYTES);
-        self.lease = None;
+        self.queue = RequestQueue::default();
+        (self.lease, self.queue_lease) = (None, None);
+    }
+
+    /// Returns whether the connection is between two requests and has no byte of the next one.
+    pub(super) fn is_idle(&self) -> bool {
+        self.reader.is_idle() && !self.has_queued()
+    }
+
+    /// Returns whether something that has been read still needs a response: a complete request, or bytes that
+    /// are not an acceptable request.
+    pub(super) fn has_queued(&self) -> bool {
+        !self.queue.is_empty() || matches!(self.queue.end(), Some(InputEnd::Invalid(_)))
+    }
+
+    /// Records that bytes have just been read.
+    pub(super) fn set_received(&mut self) {
+        let accepted_bytes_since = self.accepted_bytes_since.take();
+        self.received_at = accepted_bytes_since.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
     }
 
-    /// Reads the next request. Returns `None` if the client closes the connection before the request is
-    /// complete.
-    pub(super) async fn next_request(&mut self) -> Result<Option<ArrivedRequest>, ReadError> {
+    /// Returns the next request, and reads until one is complete.
+    pub(super) async fn next_request(&mut self) -> Result<ReceivedRequest, ReadError> {
         let mut has_continued = false;
-        // The waiting time applies only if the request is complete without a further read.
-        let mut arrived_at = self.waiting_since.take();
+        if !self.queue.is_empty() {
+            // Other connections take their turn between two requests that have been sent at once.
+            yield_now().await;
+        }
         loop {
-            // A request that is complete must have its response before the process may be killed.
-            if self.frontend.phase() == ShutdownPhase::Serving {
-                self.pacer.pause().await;
+            self.parse_received();
+            if let Some(next) = self.take_queued() {
+                if self.queue_lease.is_some() || !self.is_idle() {
+                    self.reserve_queue();
+                }
+                return Ok(next);
             }
-            if let Some(message) = self.reader.next(false)? {
-                self.pacer.charge(self.frontend, REQUEST_COST_US);
-                let arrived_at = arrived_at.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
-                self.waiting_since = (!self.reader.is_idle()).then_some(arrived_at);
-                return Ok(Some(ArrivedRequest { message, arrived_at, lease: self.lease.take() }));
+            match self.queue.end() {
+                Some(InputEnd::Invalid(e)) => return Err(e.into()),
+                Some(InputEnd::Excess) => return Err(MemoryExhausted.into()),
+                Some(InputEnd::LastRequest) => return Ok(ReceivedRequest::ClientClosed),
+                None => {}
             }
             if !has_continued && self.reader.awaiting_body().is_some_and(expects_continue) {
                 has_continued = true;
                 sockets::write_all(&self.stream, &mut &CONTINUE[..]).await?;
             }
+            // A request that is complete must have its response before the process may be killed.
+            if self.frontend.phase() == ShutdownPhase::Serving {
+                self.pacer.pause().await;
+            }
             if self.read().await? == 0 {
-                return Ok(None);
+                return Ok(ReceivedRequest::ClientClosed);
             }
+            self.set_received();
             self.pacer.charge(self.frontend, READ_COST_US);
-            arrived_at = None;
         }
     }
 
+    /// Adds the complete requests among the received bytes to the queue.
+    pub(super) fn parse_received(&mut self) {
+        while self.queue.end().is_none() {
+            let parsed = if self.is_skipping { self.skip_next() } else { self.parse_next() };
+            match parsed {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(e) => self.queue.set_end(InputEnd::Invalid(e)),
+            }
+        }
+        self.reader = Reader::new(MAX_BODY_BYTES);
+    }
+
+    /// Adds the next request to the queue. Returns false while the request is incomplete.
+    fn parse_next(&mut self) -> Result<bool, ParseError> {
+        let Some(message) = self.reader.next(false)? else { return Ok(false) };
+        self.queue.push(QueuedRequest { message, arrived_at: self.received_at, lease: self.lease.take() });
+        Ok(true)
+    }
+
+    /// Skips the next request. Returns false while the request is incomplete.
+    fn skip_next(&mut self) -> Result<bool, ParseError> {
+        let Some(keep_alive) = self.reader.skip()? else { return Ok(false) };
+        self.is_skipping = false;
+        self.queue.push_skipped(keep_alive);
+        Ok(true)
+    }
+
+    /// Takes the next request from the queue, with the memory that was reserved for it.
+    fn take_queued(&mut self) -> Option<ReceivedRequest> {
+        let mut request = match self.queue.pop(MAX_REJECTED_AT_ONCE)? {
+            NextRequest::Complete(request) => request,
+            NextRequest::Skipped(count) => return Some(ReceivedRequest::Skipped(count)),
+        };
+        self.pacer.charge(self.frontend, REQUEST_COST_US);
+        let memory_bytes = request.message.memory_bytes();
+        if self.queue_lease.is_some() && request.lease.is_none() && memory_bytes > SMALL_MESSAGE_BYTES {
+            // The bytes are part of the queue's reservation, which shrinks by as much.
+            let lease = self.frontend.budgets.memory.lease(Work::Accepted);
+            lease.set_bytes(memory_bytes);
+            self.set_queue_bytes(self.queue.memory_bytes() + self.reader.memory_bytes());
+            request.lease = Some(lease);
+        }
+        let QueuedRequest { message, arrived_at, lease } = request;
+        Some(ReceivedRequest::Complete(ArrivedRequest { message, arrived_at, lease }))
+    }
+
     /// Reads once, after the memory for the bytes has been reserved.
     async fn read(&mut self) -> Result<usize, ReadError> {
         let memory_bytes = self.reader.memory_bytes();
+        // Only the request that is being received needs memory now.
+        self.queue_lease = None;
         if memory_bytes > SMALL_MESSAGE_BYTES {
             let memory = &self.frontend.budgets.memory;
             let lease = self.lease.get_or_insert_with(|| memory.lease(Work::IncompleteRequest));
@@ -138,72 +226,6 @@
         yield_now().await;
         matches!(sockets::read_now(&self.stream, self.reader.buffer()), ReceivedNow::Bytes(_))
     }
-
-    /// Reads what the kernel has received behind a request. Returns false if the client has disconnected, in
-    /// the sense of [`ClientInput::disconnected`].
-    ///
-    /// A client may have closed its connection behind bytes that have not been read, and its request must not
-    /// be forwarded then.
-    pub(super) async fn is_connected(&mut self) -> bool {
-        while self.reader.unparsed_bytes() < MAX_READ_AHEAD_BYTES {
-            match sockets::read_now(&self.stream, self.reader.buffer()) {
-                ReceivedNow::Nothing => return true,
-                ReceivedNow::Ended => return false,
-                ReceivedNow::Bytes(_) => self.set_waiting(),
-            }
-        }
-        let mut discarded_bytes = 0;
-        while discarded_bytes < MAX_DISCARDED_BYTES {
-            // The kernel may receive more as soon as bytes have been read.
-            sleep(READ_AHEAD_PAUSE).await;
-            match self.discard_batch() {
-                (0, has_ended) => return !has_ended,
-                (_, true) => return false,
-                (bytes, false) => discarded_bytes += bytes,
-            }
-        }
-        false
-    }
-
-    /// Discards a batch of received bytes without waiting. Returns their number, and whether the client has
-    /// ended its sending side.
-    fn discard_batch(&self) -> (usize, bool) {
-        let mut batch_bytes = 0;
-        while batch_bytes < DISCARD_BATCH_BYTES {
-            match sockets::discard_now(&self.stream) {
-                ReceivedNow::Bytes(bytes) => batch_bytes += bytes,
-                ReceivedNow::Nothing => return (batch_bytes, false),
-                ReceivedNow::Ended => return (batch_bytes, true),
-            }
-        }
-        (batch_bytes, false)
-    }
-
-    /// Waits until the client disconnects, which means that it closes the connection or its sending side, or
-    /// sends more than [`MAX_DISCARDED_BYTES`] beyond [`MAX_READ_AHEAD_BYTES`].
-    pub(super) async fn disconnected(&mut self) {
-        while self.reader.unparsed_bytes() < MAX_READ_AHEAD_BYTES {
-            match sockets::read(&self.stream, self.reader.buffer()).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => self.set_waiting(),
-            }
-            sleep(READ_AHEAD_PAUSE).await;
-        }
-        let mut discarded_bytes = 0;
-        while discarded_bytes < MAX_DISCARDED_BYTES {
-            let Ok(read_bytes @ 1..) = sockets::discard(&self.stream).await else { return };
-            let (batch_bytes, has_ended) = self.discard_batch();
-            if has_ended {
-                return;
-            }
-            discarded_bytes += read_bytes + batch_bytes;
-            sleep(READ_AHEAD_PAUSE).await;
-        }
-    }
-
-    fn set_waiting(&mut self) {
-        self.waiting_since.get_or_insert_with(|| self.frontend.lag.earliest_arrival());
-    }
 }
 
 fn expects_continue(fields: &Fields) -> bool {
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -1,13 +1,12 @@
 //! The task of one client connection: waits for requests, responds to each of them, and closes the
 //! connection.
-use super::client::{ArrivedRequest, ClientInput, ReadError};
+use super::client::{ArrivedRequest, ClientInput, ReadError, ReceivedRequest};
 use super::close::linger;
 use super::responding::FinalResponse;
 use super::{ClientSlot, ConnectionGuard, Frontend, ShutdownPhase};
 use crate::budget::ConnectionState;
 use crate::closes::CloseReason;
 use crate::events::Response;
-use crate::http1::{CompleteMessage, RequestLine};
 use crate::response::LocalResponse;
 use crate::sockets;
 use crate::work_budget::ConnectionId;
@@ -44,6 +43,8 @@
 /// The outcome of reading a request.
 enum ReadOutcome {
     Request(ArrivedRequest),
+    /// This number of complete requests that have been skipped.
+    Skipped(usize),
     ClientClosed,
     Invalid(LocalResponse),
     Failed(io::Error),
@@ -57,9 +58,6 @@
     pub(super) slot: ClientSlot,
     pub(super) input: ClientInput<'a>,
     pub(super) connection_id: ConnectionId,
-    /// A complete request that the client sent before the response to the preceding one, on a connection that
-    /// must close.
-    pub(super) pipelined: Option<CompleteMessage<RequestLine>>,
     phase: watch::Receiver<ShutdownPhase>,
     accepted_at: Instant,
     has_begun_request: bool,
@@ -76,7 +74,6 @@
             slot,
             input: ClientInput::new(guard, stream, arrived_at),
             connection_id: guard.id,
-            pipelined: None,
             phase: frontend.phase.clone(),
             accepted_at: Instant::now(),
             has_begun_request: false,
@@ -86,7 +83,7 @@
     /// Serves requests until the client or the gateway closes the connection.
     pub(super) async fn serve(mut self) -> io::Result<()> {
         loop {
-            if self.input.reader.is_idle() && self.pipelined.is_none() {
+            if self.input.is_idle() {
                 match self.wait_for_first_byte().await? {
                     IdleEnd::Bytes => {}
                     IdleEnd::ClientClosed => return Ok(()),
@@ -96,6 +93,7 @@
             self.slot.set_state(ConnectionState::Reading);
             let response = match self.read_request().await {
                 ReadOutcome::Request(request) => self.respond(request).await,
+                ReadOutcome::Skipped(count) => self.reject_skipped(count),
                 ReadOutcome::ClientClosed => return Ok(()),
                 ReadOutcome::Invalid(response) => {
                     // An invalid request is not read further, so that its memory is released at once.
@@ -140,8 +138,9 @@
         }
         if self.accepted_at.elapsed() >= SAME_ARRIVAL_WINDOW {
             // These bytes arrived after the connection was accepted.
-            self.input.waiting_since = None;
+            self.input.accepted_bytes_since = None;
         }
+        self.input.set_received();
         Ok(IdleEnd::Bytes)
     }
 
@@ -149,18 +148,15 @@
     async fn read_request(&mut self) -> ReadOutcome {
         let begun_at = if self.has_begun_request { Instant::now() } else { self.accepted_at };
         self.has_begun_request = true;
-        if let Some(message) = self.pipelined.take() {
-            let arrived_at = self.input.waiting_since.unwrap_or_else(Instant::now);
-            return ReadOutcome::Request(ArrivedRequest { message, arrived_at, lease: None });
-        }
         let read = tokio::select! {
             biased;
             read = timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
             () = self.slot.evicted() => return ReadOutcome::Evicted(CloseReason::Descriptor),
         };
         match read {
-            Ok(Ok(Some(request))) => ReadOutcome::Request(request),
-            Ok(Ok(None)) => ReadOutcome::ClientClosed,
+            Ok(Ok(ReceivedRequest::Complete(request))) => ReadOutcome::Request(request),
+            Ok(Ok(ReceivedRequest::Skipped(count))) => ReadOutcome::Skipped(count),
+            Ok(Ok(ReceivedRequest::ClientClosed)) => ReadOutcome::ClientClosed,
             Ok(Err(ReadError::Parse(e))) => ReadOutcome::Invalid(e.into()),
             Ok(Err(ReadError::Io(e))) => ReadOutcome::Failed(e),
             Ok(Err(ReadError::Memory(_))) => ReadOutcome::Evicted(CloseReason::MemoryForRequest),
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -6,7 +6,9 @@
 mod close;
 mod connection;
 mod pacing;
+mod read_ahead;
 mod request;
+mod request_queue;
 mod responding;
 
 use crate::budget::ConnectionState;
--- /dev/null
+++ b/gateway/src/listener/read_ahead.rs
@@ -0,0 +1,180 @@
+//! Reading behind an open request, so that the gateway notices when the client disconnects.
+//!
+//! A client may send further requests before it has the response to its open one, and may close its connection
+//! behind them. The gateway reads all that has arrived. Complete requests wait in the connection's queue as long
+//! as the memory budget has room, and are skipped otherwise: their bodies are discarded, and each of them is
+//! rejected in its turn.
+use super::client::ClientInput;
+use super::request_queue::InputEnd;
+use crate::memory::MemoryLease;
+use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
+use crate::sockets::{self, ReceivedNow};
+use crate::work_budget::READ_COST_US;
+use std::future::pending;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The maximum memory of the requests behind an open one.
+const MAX_QUEUE_BYTES: usize = 4 << 20;
+/// The maximum number of bytes that are read while a request is open and cannot be kept. Beyond it, the open
+/// request and all requests behind it are rejected, because a disconnect behind so many bytes would be noticed
+/// too late.
+const MAX_SKIPPED_BYTES: usize = 4 << 20;
+/// The maximum number of bytes that are discarded behind the last request while a request is open. A client that
+/// sends more counts as disconnected.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// The number of bytes that are read between two pauses.
+const BATCH_BYTES: usize = 64 * 1024;
+/// The pause after each batch, so that a flooding client does not starve other clients.
+const BATCH_PAUSE: Duration = Duration::from_millis(1);
+
+/// The bytes that have been read behind one open request and have not been kept.
+#[derive(Default)]
+struct Unkept {
+    skipped_bytes: usize,
+    discarded_bytes: usize,
+}
+
+/// The result of reading a batch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Batch {
+    /// All bytes that have arrived have been read.
+    Drained,
+    /// More bytes have arrived than a batch has.
+    Full,
+    /// The client has disconnected.
+    Disconnected,
+}
+
+impl ClientInput<'_> {
+    /// Reads what the kernel has received behind a request. Returns false if the client has disconnected, in
+    /// the sense of [`ClientInput::disconnected`].
+    ///
+    /// A client may have closed its connection behind bytes that have not been read, and its request must not
+    /// be forwarded then.
+    pub(super) async fn is_connected(&mut self) -> bool {
+        let mut unkept = Unkept::default();
+        loop {
+            match self.read_batch(&mut unkept) {
+                Batch::Drained => return true,
+                Batch::Disconnected => return false,
+                // The kernel may receive more as soon as bytes have been read.
+                Batch::Full => sleep(BATCH_PAUSE).await,
+            }
+        }
+    }
+
+    /// Waits until the client disconnects, which means that it closes the connection or its sending side, or
+    /// sends more than [`MAX_SKIPPED_BYTES`] that cannot be kept, or more than [`MAX_DISCARDED_BYTES`] behind
+    /// its last request.
+    pub(super) async fn disconnected(&mut self) {
+        let mut unkept = Unkept::default();
+        loop {
+            let is_readable = tokio::select! {
+                biased;
+                () = evicted(&mut self.queue_lease) => {
+                    self.skip_queued();
+                    continue;
+                }
+                readable = self.stream.readable() => readable.is_ok(),
+            };
+            if !is_readable || self.read_batch(&mut unkept) == Batch::Disconnected {
+                return;
+            }
+            sleep(BATCH_PAUSE).await;
+        }
+    }
+
+    /// Reads a batch of received bytes without waiting.
+    fn read_batch(&mut self, unkept: &mut Unkept) -> Batch {
+        let mut batch_bytes = 0;
+        while batch_bytes < BATCH_BYTES {
+            let has_ended = self.queue.end().is_some();
+            let received = if has_ended {
+                sockets::discard_now(&self.stream)
+            } else {
+                sockets::read_now(&self.stream, self.reader.buffer())
+            };
+            let read_bytes = match received {
+                ReceivedNow::Bytes(read_bytes) => read_bytes,
+                ReceivedNow::Nothing => return Batch::Drained,
+                ReceivedNow::Ended => return Batch::Disconnected,
+            };
+            batch_bytes += read_bytes;
+            if has_ended {
+                unkept.discarded_bytes += read_bytes;
+            } else if self.receive_behind_open_request() {
+                unkept.skipped_bytes += read_bytes;
+            }
+            if unkept.skipped_bytes > MAX_SKIPPED_BYTES {
+                self.queue.set_end(InputEnd::Excess);
+            }
+            if self.queue.end() == Some(InputEnd::Excess) || unkept.discarded_bytes > MAX_DISCARDED_BYTES {
+                return Batch::Disconnected;
+            }
+        }
+        self.pacer.charge(self.frontend, READ_COST_US);
+        Batch::Full
+    }
+
+    /// Adds the requests among the bytes that have just been read to the queue. Returns whether a part of the
+    /// bytes was skipped.
+    fn receive_behind_open_request(&mut self) -> bool {
+        self.set_received();
+        let was_skipping = self.is_skipping;
+        self.parse_received();
+        self.reserve_queue();
+        was_skipping || self.is_skipping
+    }
+
+    /// Reserves the memory of the queued requests and of the incomplete one behind them. If the budget has no
+    /// room, first the incomplete request is skipped, and then all queued requests are.
+    pub(super) fn reserve_queue(&mut self) {
+        if self.can_reserve_queue() {
+            return;
+        }
+        self.is_skipping = true;
+        self.parse_received();
+        self.reader.shrink();
+        if self.can_reserve_queue() {
+            return;
+        }
+        self.queue.skip_all();
+        if !self.can_reserve_queue() {
+            self.queue.set_end(InputEnd::Excess);
+        }
+    }
+
+    fn can_reserve_queue(&mut self) -> bool {
+        let memory_bytes = self.queue.memory_bytes() + self.reader.memory_bytes();
+        if memory_bytes <= SMALL_MESSAGE_BYTES {
+            self.queue_lease = None;
+            return true;
+        }
+        let memory = &self.frontend.budgets.memory;
+        let lease = self.queue_lease.get_or_insert_with(|| memory.lease(Work::ReadAhead));
+        memory_bytes <= MAX_QUEUE_BYTES && lease.try_reserve(memory_bytes)
+    }
+
+    /// Releases a part of the queue's reservation.
+    pub(super) fn set_queue_bytes(&mut self, memory_bytes: usize) {
+        if let Some(lease) = &self.queue_lease {
+            lease.set_bytes(memory_bytes);
+        }
+    }
+
+    /// Skips all queued requests, so that each of them is rejected, and releases their memory.
+    pub(super) fn skip_queued(&mut self) {
+        self.queue.skip_all();
+        self.queue_lease = None;
+        self.reserve_queue();
+    }
+}
+
+/// Waits until the memory of the queued requests is needed for others.
+pub(super) async fn evicted(queue_lease: &mut Option<MemoryLease>) {
+    match queue_lease {
+        Some(lease) => lease.evicted().await,
+        None => pending().await,
+    }
+}
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -1,7 +1,9 @@
 //! The response of a client connection to one request: from the listener itself or from the event loop.
-use super::client::{ArrivedRequest, MAX_READ_AHEAD_BYTES};
+use super::client::ArrivedRequest;
 use super::connection::ClientConnection;
+use super::read_ahead::evicted;
 use super::request::InvalidRequest;
+use super::request_queue::InputEnd;
 use super::ShutdownPhase;
 use crate::budget::ConnectionState;
 use crate::closes::CloseReason;
@@ -12,12 +14,12 @@
 use crate::protocol::{API_PATH, READINESS_PATH};
 use crate::response::{EncodedResponse, LocalResponse};
 use crate::sockets;
-use bytes::Buf;
+use bytes::{Buf, BytesMut};
 use std::future::pending;
 use std::io;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 use tracing::debug;
 
 /// The time within which a response must be written completely.
@@ -58,30 +60,12 @@
         let RequestResult { response, client_disconnected } = self.handle_request(request).await;
         let is_invalid =
             matches!(response, Err(LocalResponse::BadRequest(_) | LocalResponse::MethodNotAllowed));
-        let accepts_more = client_keeps_alive && !is_invalid && !client_disconnected;
-        let is_spare = self.slot.is_spare();
-        let is_evicted = self.slot.is_evicted();
-        let has_excess_input = self.input.reader.unparsed_bytes() >= MAX_READ_AHEAD_BYTES;
-        let phase = self.frontend.phase();
-        let must_close = is_spare || is_evicted || has_excess_input || phase != ShutdownPhase::Serving;
-        // A connection that must close still serves the complete requests that have already been read.
-        self.pipelined =
-            if accepts_more && must_close { self.input.reader.next(false).ok().flatten() } else { None };
-        let keep_alive = accepts_more && (!must_close || self.pipelined.is_some());
-        if !keep_alive {
-            debug!(
-                is_invalid,
-                client_disconnected,
-                is_spare,
-                is_evicted,
-                has_excess_input,
-                ?phase,
-                "closing connection after response"
-            );
-        }
-        if has_excess_input && !keep_alive {
-            self.record_close(CloseReason::ExcessInput);
+        if client_disconnected {
+            // No further request of the client is forwarded, and each one that has been read is rejected.
+            self.input.skip_queued();
         }
+        let may_read_on = client_keeps_alive && !is_invalid && !client_disconnected;
+        let keep_alive = self.stays_open(may_read_on);
         let mut lease = None;
         let response = match response {
             Ok(mut response) => {
@@ -95,6 +79,42 @@
         FinalResponse { response, lease, keep_alive }
     }
 
+    /// Rejects `count` requests in a row that have been skipped.
+    pub(super) fn reject_skipped(&mut self, count: usize) -> FinalResponse {
+        self.slot.set_state(ConnectionState::Open);
+        let rejected = || Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
+        let keep_alive = self.stays_open(true);
+        let earlier = rejected().encode(true);
+        let last = rejected().encode(keep_alive);
+        let mut bytes = BytesMut::with_capacity(count * (earlier.head.len() + earlier.body.len()));
+        for _ in 1..count {
+            bytes.extend_from_slice(&earlier.head);
+            bytes.extend_from_slice(&earlier.body);
+        }
+        bytes.extend_from_slice(&last.head);
+        debug!(count, keep_alive, "rejecting skipped requests");
+        let response = EncodedResponse { head: bytes.freeze(), body: last.body };
+        FinalResponse { response, lease: None, keep_alive }
+    }
+
+    /// Returns whether the connection stays open after the next response. A connection that must close still
+    /// responds to everything that has been read.
+    fn stays_open(&self, may_read_on: bool) -> bool {
+        let is_spare = self.slot.is_spare();
+        let is_evicted = self.slot.is_evicted();
+        let phase = self.frontend.phase();
+        let must_close = is_spare || is_evicted || phase != ShutdownPhase::Serving;
+        let end = self.input.queue.end();
+        let stays_open = self.input.has_queued() || (may_read_on && !must_close && end.is_none());
+        if !stays_open {
+            debug!(may_read_on, is_spare, is_evicted, ?end, ?phase, "closing connection after response");
+            if end == Some(InputEnd::Excess) {
+                self.record_close(CloseReason::ExcessInput);
+            }
+        }
+        stays_open
+    }
+
     /// Returns the response to a request, from the listener itself or from the event loop. A client that has
     /// disconnected also gets a response, because it may have ended its sending side only.
     async fn handle_request(&mut self, request: ArrivedRequest) -> RequestResult {
@@ -157,22 +177,28 @@
         if let Some(lease) = &lease {
             lease.set_work(Work::UnreadResponse);
         }
-        let evicted = async {
-            match &mut lease {
-                Some(lease) => lease.evicted().await,
-                None => pending().await,
-            }
-        };
-        tokio::select! {
-            biased;
-            written = timeout(RESPONSE_WRITE_TIMEOUT, sockets::write_all(&self.input.stream, &mut bytes)) => written?,
-            () = evicted => {
-                self.frontend.closes.record(
-                    CloseReason::MemoryForResponse,
-                    self.connection_id,
-                    bytes.remaining(),
-                );
-                Err(io::ErrorKind::OutOfMemory.into())
+        let write_until = Instant::now() + RESPONSE_WRITE_TIMEOUT;
+        loop {
+            let response_evicted = async {
+                match &mut lease {
+                    Some(lease) => lease.evicted().await,
+                    None => pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                written = timeout_at(write_until, sockets::write_all(&self.input.stream, &mut bytes)) => {
+                    return written?;
+                }
+                () = response_evicted => {
+                    self.frontend.closes.record(
+                        CloseReason::MemoryForResponse,
+                        self.connection_id,
+                        bytes.remaining(),
+                    );
+                    return Err(io::ErrorKind::OutOfMemory.into());
+                }
+                () = evicted(&mut self.input.queue_lease) => self.input.skip_queued(),
             }
         }
     }
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -115,10 +115,22 @@
         }
     }
 
+    /// Reserves bytes for requests behind an open one, so that the holder has `bytes` in total, without waiting.
+    /// Returns whether the bytes are reserved.
+    pub fn try_reserve(&self, bytes: usize) -> bool {
+        let mut inner = self.memory.lock();
+        let is_reserved = inner.budget.try_reserve(self.id, bytes);
+        inner.notify_granted();
+        is_reserved
+    }
+
     /// Requests bytes. Returns `None` if they are reserved, and otherwise a channel for their grant.
     fn request(&mut self, bytes: usize) -> Result<Option<oneshot::Receiver<()>>, MemoryExhausted> {
         let now_ms = self.memory.now_ms();
         let mut inner = self.memory.lock();
+        while let Some(evicted) = inner.budget.evict_read_ahead_for(self.id, bytes) {
+            inner.evict(evicted);
+        }
         match inner.budget.reserve(self.id, bytes, now_ms) {
             Reservation::Granted => Ok(None),
             Reservation::Denied => Err(MemoryExhausted),
--- a/gateway/src/memory_budget.rs
+++ b/gateway/src/memory_budget.rs
@@ -27,6 +27,9 @@
 /// The share of the reservable bytes up to which incomplete requests may grow. The rest is kept for responses,
 /// so that requests which have been taken on do not wait for each other.
 const MAX_INCOMPLETE_SHARE: f64 = 0.75;
+/// The share of the reservable bytes up to which requests behind open ones may grow. They are served only
+/// after the open ones, and can be rejected at any time.
+const MAX_READ_AHEAD_SHARE: f64 = 0.5;
 /// A response is evicted only if the client has not read it for this long.
 const MIN_UNREAD_MS: f64 = 500.0;
 
@@ -63,6 +66,8 @@
 /// What a holder's bytes are needed for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Work {
+    /// Requests that a client has sent behind its open request.
+    ReadAhead,
     /// A request that its client has not sent completely.
     IncompleteRequest,
     /// A request or a response that the gateway has taken on, or state of the gateway itself.
@@ -118,6 +123,8 @@
     evicted_bytes: usize,
     last_id: HolderId,
     holders: HashMap<HolderId, Holder>,
+    /// The holders of requests behind open ones that have not been evicted, by size.
+    read_ahead_by_size: BTreeSet<(usize, HolderId)>,
     /// The holders of incomplete requests that have not been evicted, by size.
     incomplete_by_size: BTreeSet<(usize, HolderId)>,
     /// The holders of unread responses that have not been evicted, by size.
@@ -137,6 +144,7 @@
             evicted_bytes: 0,
             last_id: 0,
             holders: HashMap::new(),
+            read_ahead_by_size: BTreeSet::new(),
             incomplete_by_size: BTreeSet::new(),
             unread_by_size: BTreeSet::new(),
             waiting_accepted: WaitingQueue::default(),
@@ -183,6 +191,40 @@
         self.wait_or_deny(id, holder, bytes, now_ms)
     }
 
+    /// Requests that the bytes of a holder of [`Work::ReadAhead`] grow to `bytes` in total. Such a reservation
+    /// evicts no other holder and does not wait. Returns whether the bytes are reserved.
+    pub fn try_reserve(&mut self, id: HolderId, bytes: usize) -> bool {
+        let Some(holder) = self.holders.get(&id).copied() else { return false };
+        if holder.is_evicted {
+            return false;
+        }
+        let added_bytes = bytes.saturating_sub(holder.bytes);
+        let is_granted =
+            added_bytes == 0 || (self.has_no_waiting() && self.fits(added_bytes, Work::ReadAhead));
+        if is_granted {
+            self.set_bytes(id, bytes);
+        }
+        is_granted
+    }
+
+    fn has_no_waiting(&self) -> bool {
+        self.waiting_accepted.ids.is_empty() && self.waiting_incomplete.ids.is_empty()
+    }
+
+    /// Evicts the largest holder of [`Work::ReadAhead`] if the reservation of `bytes` in total by the holder `id`
+    /// needs its bytes. Returns the evicted holder.
+    pub fn evict_read_ahead_for(&mut self, id: HolderId, bytes: usize) -> Option<HolderId> {
+        let holder = self.holders.get(&id)?;
+        let added_bytes = bytes.saturating_sub(holder.bytes);
+        let is_denied = holder.is_evicted || bytes > self.limit_bytes(holder.work);
+        if added_bytes == 0 || is_denied || self.is_freed_soon(added_bytes, holder.work) {
+            return None;
+        }
+        let (_, victim) = *self.read_ahead_by_size.iter().next_back().filter(|(bytes, _)| *bytes > 0)?;
+        self.evict(victim);
+        Some(victim)
+    }
+
     fn wait_or_deny(&mut self, id: HolderId, holder: Holder, bytes: usize, now_ms: f64) -> Reservation {
         let is_freed_soon = self.is_freed_soon(bytes - holder.bytes, holder.work);
         let victim = if is_freed_soon { None } else { self.victim(now_ms) };
@@ -205,14 +247,16 @@
     fn queue(&mut self, work: Work) -> &mut WaitingQueue {
         match work {
             Work::IncompleteRequest => &mut self.waiting_incomplete,
-            Work::Accepted | Work::UnreadResponse => &mut self.waiting_accepted,
+            Work::Accepted | Work::UnreadResponse | Work::ReadAhead => &mut self.waiting_accepted,
         }
     }
 
     /// Returns the number of bytes up to which reservations for `work` are granted.
     fn limit_bytes(&self, work: Work) -> usize {
+        let share = |ratio| (self.reservable_bytes as f64 * ratio) as usize;
         match work {
-            Work::IncompleteRequest => (self.reservable_bytes as f64 * MAX_INCOMPLETE_SHARE) as usize,
+            Work::ReadAhead => share(MAX_READ_AHEAD_SHARE),
+            Work::IncompleteRequest => share(MAX_INCOMPLETE_SHARE),
             Work::Accepted | Work::UnreadResponse => self.reservable_bytes,
         }
     }
@@ -327,6 +371,7 @@
     fn index(&mut self, id: HolderId) {
         let Some(holder) = self.holders.get(&id).filter(|holder| !holder.is_evicted) else { return };
         match holder.work {
+            Work::ReadAhead => drop(self.read_ahead_by_size.insert((holder.bytes, id))),
             Work::IncompleteRequest => drop(self.incomplete_by_size.insert((holder.bytes, id))),
             Work::UnreadResponse => drop(self.unread_by_size.insert((holder.bytes, id))),
             Work::Accepted => {}
@@ -335,6 +380,7 @@
 
     fn unindex(&mut self, id: HolderId) {
         let Some(holder) = self.holders.get(&id) else { return };
+        self.read_ahead_by_size.remove(&(holder.bytes, id));
         self.incomplete_by_size.remove(&(holder.bytes, id));
         self.unread_by_size.remove(&(holder.bytes, id));
     }
