Inject a fault for sure into each test of interrupted calls

The shim's control counts pending faults, which are injected into the next calls whatever the rate, and other threads no longer advance the sequence. Each test of this kind injects one fault for sure and the others at the same rate as before, and still demands that all requests are served; those of failed accepts now count from before the test as well.

--- a/fault-tests/shim/faults.rs
+++ b/fault-tests/shim/faults.rs
@@ -104,6 +104,8 @@
     pub write_delay_ms: AtomicU32,
     /// Probability of each kind, as a fraction of [`ALWAYS`].
     pub rates: [AtomicU32; MAX_KINDS],
+    /// Number of the next calls into which a fault of each kind is injected whatever its probability.
+    pub pending: [AtomicU32; MAX_KINDS],
     /// Number of injected faults of each kind.
     pub injected: [AtomicU64; MAX_KINDS],
 }
@@ -204,11 +206,13 @@
     bits ^ (bits >> 31)
 }
 
-/// Draws whether a fault is injected into the current call, and counts the fault if so.
+/// Returns whether a fault is injected into the current call, because one is pending or is drawn, and counts the
+/// fault if so.
 fn injects(kind: Kind) -> bool {
     let Some(control) = control() else { return false };
     let rate = control.rates[kind as usize].load(Relaxed);
-    if rate == 0 || draw(control) as u32 % ALWAYS >= rate {
+    let pending = &control.pending[kind as usize];
+    if rate == 0 && pending.load(Relaxed) == 0 {
         return false;
     }
     let thread = control.thread.load(Relaxed);
@@ -216,6 +220,10 @@
     if thread != 0 && c_long::from(thread) != unsafe { syscall(number::GETTID) } {
         return false;
     }
+    let is_pending = pending.fetch_update(Relaxed, Relaxed, |count| count.checked_sub(1)).is_ok();
+    if !is_pending && draw(control) as u32 % ALWAYS >= rate {
+        return false;
+    }
     control.injected[kind as usize].fetch_add(1, Relaxed);
     true
 }
--- a/gateway/tests/faults.rs
+++ b/gateway/tests/faults.rs
@@ -13,7 +13,7 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 use tokio::sync::{Mutex, MutexGuard};
-use tokio::time::{timeout, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Returns the control of the shim, which exists once per process.
 fn fault_control() -> &'static Control {
@@ -32,6 +32,7 @@
     static EXCLUSIVE: Mutex<()> = Mutex::const_new(());
     let guard = EXCLUSIVE.lock().await;
     fault_control().rates.iter().for_each(|rate| rate.store(0, Relaxed));
+    fault_control().pending.iter().for_each(|count| count.store(0, Relaxed));
     guard
 }
 
@@ -40,6 +41,11 @@
     fault_control().rates[kind as usize].store(rate, Relaxed);
 }
 
+/// Injects a fault into the next call of the gateway's thread, whatever the probability.
+fn inject_next(kind: Kind) {
+    fault_control().pending[kind as usize].store(1, Relaxed);
+}
+
 /// Returns how often a fault has been injected in this process.
 fn injected_count(kind: Kind) -> u64 {
     fault_control().injected[kind as usize].load(Relaxed)
@@ -61,14 +67,15 @@
     )
 }
 
-/// Checks that requests over one connection are all served without delay while a fault is injected
-/// with the probability `rate`, a fraction of [`ALWAYS`].
+/// Checks that requests over one connection are all served without delay while a fault is injected into the first
+/// call, and into the others with the probability `rate`, a fraction of [`ALWAYS`].
 async fn check_served_despite(kind: Kind, rate: u32) {
     let mut server = StubServer::start(SERVE).await;
     let discovery = StubDiscovery::start().await;
     let gateway =
         start_gateway(&gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address));
     let count_before = injected_count(kind);
+    inject_next(kind);
     set_rate(kind, rate);
     let mut client = gateway.client().await;
     let started_at = Instant::now();
@@ -179,7 +186,7 @@
     }
     gateway.discovery.send_replace(new_discovery.address);
     while injected_count(Kind::ConnectNoAddress) + injected_count(Kind::SocketFileTable) == 0 {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+        sleep(Duration::from_millis(5)).await;
     }
     fault_control().rates.iter().for_each(|rate| rate.store(0, Relaxed));
     let started_at = Instant::now();
@@ -188,8 +195,8 @@
     assert!(started_at.elapsed() < Duration::from_millis(800), "{:?}", started_at.elapsed());
 }
 
-/// Checks that connections are accepted although `accept` fails with the probability `rate`, a fraction of
-/// [`ALWAYS`]. If `keeps_idle` is true, also checks that an idle connection is not evicted.
+/// Checks that connections are accepted although `accept` fails once, and further on with the probability `rate`,
+/// a fraction of [`ALWAYS`]. If `keeps_idle` is true, also checks that an idle connection is not evicted.
 async fn check_accepted_despite(kind: Kind, rate: u32, keeps_idle: bool) {
     let server = StubServer::start(SERVE).await;
     let discovery = StubDiscovery::start().await;
@@ -197,6 +204,8 @@
         start_gateway(&gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address));
     let mut idle_client = gateway.client().await;
     assert_eq!(idle_client.request(&look_request("idle")).await.start_line.code, 200);
+    let count_before = injected_count(kind);
+    inject_next(kind);
     set_rate(kind, rate);
     for n in 0..10 {
         assert_eq!(
@@ -205,7 +214,7 @@
             "request {n}"
         );
     }
-    assert!(injected_count(kind) > 0, "the fault is injected");
+    assert!(injected_count(kind) > count_before, "the fault is injected");
     set_rate(kind, 0);
     if keeps_idle {
         idle_client.send(&look_request("again")).await;
@@ -252,7 +261,7 @@
         clients.push(client);
     }
     gateway.shut_down();
-    tokio::time::sleep(Duration::from_millis(650)).await;
+    sleep(Duration::from_millis(650)).await;
     set_rate(Kind::AcceptAborted, ALWAYS / 2);
     set_rate(Kind::AcceptInterrupted, ALWAYS / 4);
     set_rate(Kind::AcceptFileTable, 0);
@@ -277,7 +286,7 @@
     set_rate(Kind::AcceptFileTable, ALWAYS);
     let mut client = gateway.client().await;
     client.send(&timed_request("a")).await;
-    tokio::time::sleep(Duration::from_millis(500)).await;
+    sleep(Duration::from_millis(500)).await;
     set_rate(Kind::AcceptFileTable, 0);
     let mut connection = server.accept().await;
     let forwarded_time_left_ms =
