Read the sockets after a stall before a timer takes effect

Cause: when a stopped process goes on, the kernel interrupts its wait for the sockets (EINTR), and the runtime fires the timers of that turn before it waits again. A balancer timer then sent the attempt, and `exchange` caught up only if the decision was older than 20 ms, which a decision after the hold-up never is. A trial with log lines shows a timer 136 ms late and four attempts written 0 to 2 us after their decision, one of them to a client that had closed.

Change: LoopLag knows the time up to which the sockets have been read. Before each first byte, and wherever a late timer would close, time out, evict or hand on something, the task yields until that time is less than 20 ms ago, four rounds at most. An attempt also waits, 100 ms at most, until what its own client has sent behind the request has been read.

--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -7,6 +7,7 @@
 use crate::endpoint_list::{EndpointList, EndpointListError};
 use crate::events::{DiscoveryAddressReceiver, DiscoveryEvent, EventSender, GatewayEvent};
 use crate::http1::{ParseError, Reader, StatusLine};
+use crate::loop_lag::LoopLag;
 use crate::memory::{Memory, MemoryExhausted};
 use crate::protocol::endpoints_target;
 use connection::DiscoveryConnection;
@@ -17,7 +18,7 @@
 use thiserror::Error;
 use timing::{PollTiming, EMPTY_POLL_DELAY, FIRST_POLL, NEXT_POLL};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, Instant};
 use tracing::{debug, info, warn};
 
 /// The largest accepted endpoint list: 4 KiB for each of 1,024 endpoints, an eighth of the smallest gateway's
@@ -61,6 +62,8 @@
     pub renewal_delay: Duration,
     /// The budget in which the memory of large lists is reserved.
     pub memory: Arc<Memory>,
+    /// The measurement of the process's stalls.
+    pub lag: LoopLag,
 }
 
 /// Watches discovery, starting from `config.revision`. A watch begins when one is requested or when
@@ -79,6 +82,7 @@
         renewal_delay: config.renewal_delay,
         requests,
         events,
+        lag: config.lag,
         has_had_response: true,
     };
     watcher.run().await;
@@ -105,6 +109,7 @@
     renewal_delay: Duration,
     requests: mpsc::Receiver<()>,
     events: EventSender,
+    lag: LoopLag,
     /// Whether the latest watch has received a response. A watch that is silent from its start is not
     /// renewed; the balancer requests another one after its backoff.
     has_had_response: bool,
@@ -151,8 +156,8 @@
     /// Runs one watch until it ends or discovery's address changes.
     async fn watch_once(&mut self, address: SocketAddr) -> NextStep {
         let delay = if self.has_had_response { Duration::ZERO } else { self.renewal_delay };
-        let Watcher { discovery, connection, revision, events, has_had_response, .. } = self;
-        let mut watch = Watch { connection, revision, has_had_response, events };
+        let Watcher { discovery, connection, revision, events, lag, has_had_response, .. } = self;
+        let mut watch = Watch { connection, revision, has_had_response, events, lag };
         let ended = tokio::select! {
             biased;
             Ok(()) = discovery.changed() => None,
@@ -191,6 +196,7 @@
     revision: &'a mut Option<u64>,
     has_had_response: &'a mut bool,
     events: &'a EventSender,
+    lag: &'a LoopLag,
 }
 
 impl Watch<'_> {
@@ -244,7 +250,7 @@
         let target = endpoints_target(*self.revision, timing.wait_ms);
         let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let call = self.connection.call(reader, &request);
-        let response = timeout_at(deadline, call).await.map_err(|_| WatchError::Silent)??;
+        let response = self.lag.timeout_at(deadline, call).await.ok_or(WatchError::Silent)??;
         if response.start_line.code != STATUS_OK {
             return Err(WatchError::Status(response.start_line.code));
         }
--- a/gateway/src/event_loop/attempts.rs
+++ b/gateway/src/event_loop/attempts.rs
@@ -2,7 +2,7 @@
 use super::endpoints::ReachableEndpoint;
 use super::open_requests::AttemptRecord;
 use super::EventLoop;
-use crate::events::{AttemptResult, RawRequest, Response};
+use crate::events::{AttemptResult, RawRequest, Response, UnreadInput};
 use crate::invariants::Invariant;
 use crate::permit::{Denial, PriorAttempt};
 use crate::protocol::{HEALTH_CHECK_HEAD, HEALTH_CHECK_TAIL};
@@ -42,13 +42,14 @@
             (Ok(()), Some(ReachableEndpoint { address, incarnation, .. })) => {
                 debug!(request_id = id.0, attempt = number, endpoint_id = endpoint.0, "sending attempt");
                 let purpose = Purpose::Request { id, attempt: number };
-                let raw = request.raw.clone();
+                let (raw, unread_input) = (request.raw.clone(), request.unread_input.clone());
                 self.upstream.start(Attempt {
                     purpose,
                     endpoint,
                     incarnation,
                     address,
                     raw,
+                    unread_input,
                     give_up_at,
                     send_by,
                     cancelled,
@@ -146,6 +147,7 @@
                 body: Bytes::new(),
                 lease: None,
             },
+            unread_input: UnreadInput::default(),
             give_up_at: Instant::now() + self.health_check_timeout,
             send_by: None,
             cancelled,
--- a/gateway/src/event_loop/mod.rs
+++ b/gateway/src/event_loop/mod.rs
@@ -27,12 +27,14 @@
 use ternstack_settings::Deployment;
 use timers::{Timer, Timers};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{sleep_until, Instant};
+use tokio::time::Instant;
 use tracing::{debug, info, warn};
 
 /// The delay of a request's deadline timer beyond the deadline. The runtime rounds timers up to the next
 /// millisecond, and the balancer must first handle an attempt that ends at the deadline.
 const DEADLINE_TIMER_DELAY: Duration = Duration::from_millis(3);
+/// A timer that fires later than this is overdue, because the process was stalled or busy.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(20);
 /// The smallest timeout of a health check, in seconds.
 const MIN_HEALTH_CHECK_TIMEOUT_S: f64 = 0.001;
 /// The largest timeout of a health check, in seconds.
@@ -119,10 +121,10 @@
     /// Runs until the event queue closes.
     pub async fn run(mut self, mut events: mpsc::Receiver<GatewayEvent>) {
         loop {
-            let next_due_at = self.timers.next_due_at();
+            let (next_due_at, lag) = (self.timers.next_due_at(), self.lag.clone());
             let timer_due = async {
                 match next_due_at {
-                    Some(due_at) => sleep_until(due_at).await,
+                    Some(due_at) => lag.sleep_until(due_at).await,
                     None => std::future::pending().await,
                 }
             };
@@ -161,8 +163,14 @@
         }
     }
 
+    /// Fires the timers that are due. After a stall of the process, timers wait until the events that occurred
+    /// during the stall have been handled, because a response or a disconnect among them may have come in time.
     fn fire_due_timers(&mut self) {
         let now = Instant::now();
+        let is_overdue = self.timers.next_due_at().is_some_and(|due_at| due_at + MAX_TIMER_DELAY <= now);
+        if is_overdue && !self.lag.is_caught_up() {
+            return;
+        }
         while let Some(timer) = self.timers.pop_due(now) {
             match timer {
                 Timer::Balancer { token } => self.notify_balancer(Event::Timer { token }),
--- a/gateway/src/event_loop/open_requests.rs
+++ b/gateway/src/event_loop/open_requests.rs
@@ -1,7 +1,7 @@
 //! The open requests: those that have no response yet or still have attempts in flight.
 use super::timers::TimerKey;
 use crate::correlation_ids::CorrelationIdGuard;
-use crate::events::{RawRequest, Request, Response};
+use crate::events::{RawRequest, Request, Response, UnreadInput};
 use crate::permit::{Denial, EndpointLocality, NextAttempt, PriorAttempt};
 use crate::upstream::Cancellation;
 use std::collections::BTreeMap;
@@ -17,6 +17,8 @@
     pub(super) deadline: Instant,
     /// The bytes to forward to an endpoint.
     pub(super) raw: RawRequest,
+    /// Whether the client has sent more than has been read.
+    pub(super) unread_input: UnreadInput,
     /// The channel to the client connection; `None` once the response has been sent on it.
     respond_to: Option<oneshot::Sender<Response>>,
     /// The reservation of the request's correlation id, kept until the request has ended.
@@ -59,6 +61,7 @@
             class: request.class,
             deadline: request.deadline,
             raw: request.raw,
+            unread_input: request.unread_input,
             respond_to: Some(request.respond_to),
             correlation_id: request.correlation_id,
             is_non_idempotent: class.idempotency != Idempotency::Idempotent,
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -8,6 +8,7 @@
 use crate::memory::MemoryLease;
 use bytes::Bytes;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use ternstack_balancer::{EndpointId, LoadReport, Outcome, RequestId};
 use tokio::sync::{mpsc, oneshot};
@@ -69,6 +70,24 @@
     pub correlation_id: CorrelationIdGuard,
     /// The channel on which the client connection waits for the one response.
     pub respond_to: oneshot::Sender<Response>,
+    /// Whether the client has sent more than has been read, so that a disconnect behind it is not known yet.
+    pub unread_input: UnreadInput,
+}
+
+/// Whether bytes that a client has sent have not been read, shared by its connection and its attempts.
+#[derive(Clone, Debug, Default)]
+pub struct UnreadInput(Arc<AtomicBool>);
+
+impl UnreadInput {
+    /// Returns whether bytes have not been read.
+    pub fn is_pending(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    /// Records whether bytes have not been read.
+    pub fn set_pending(&self, is_pending: bool) {
+        self.0.store(is_pending, Ordering::Relaxed);
+    }
 }
 
 /// The bytes of a request to forward. The time left, in milliseconds, is inserted when an attempt is sent.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,7 +28,7 @@
 pub mod http1;
 mod invariants;
 mod listener;
-mod loop_lag;
+pub mod loop_lag;
 pub mod memory;
 pub mod memory_budget;
 mod permit;
--- a/gateway/src/listener/accept.rs
+++ b/gateway/src/listener/accept.rs
@@ -66,6 +66,8 @@
             match with_nodelay(accepted.map(|(stream, _)| stream)) {
                 Ok(stream) => {
                     *without_room = Some(AcceptedConnection { stream, arrived_at });
+                    // Another connection may be evicted, and its bytes may have arrived during a stall.
+                    self.lag.catch_up().await;
                     // The next connections wait in the kernel, so that the descriptors beyond the budget
                     // suffice.
                     while !self.budgets.descriptors.can_accept() {
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -2,6 +2,7 @@
 use super::pacing::Pacer;
 use super::request_queue::{InputEnd, NextRequest, QueuedRequest, RequestQueue};
 use super::{ConnectionGuard, Frontend, ShutdownPhase};
+use crate::events::UnreadInput;
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
 use crate::memory::{MemoryExhausted, MemoryLease};
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
@@ -62,6 +63,8 @@
     pub(super) queue_lease: Option<MemoryLease>,
     /// Whether the request that is being received is skipped.
     pub(super) is_skipping: bool,
+    /// Whether a batch has been read behind an open request and more has arrived.
+    pub(super) unread_input: UnreadInput,
     /// The time since which the connection's first bytes may have been waiting for the accept.
     pub(super) accepted_bytes_since: Option<Instant>,
     /// The earliest time at which the bytes that were read last may have arrived.
@@ -81,6 +84,7 @@
             queue: RequestQueue::default(),
             queue_lease: None,
             is_skipping: false,
+            unread_input: UnreadInput::default(),
             accepted_bytes_since: Some(arrived_at),
             received_at: arrived_at,
             lease: None,
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until, timeout_at, Instant};
+use tokio::time::Instant;
 use tracing::debug;
 
 /// The time within which a request must be complete, counted from its first byte, or from the accept for the
@@ -119,17 +119,17 @@
 
     /// Waits for the next request's first byte.
     async fn wait_for_first_byte(&mut self) -> io::Result<IdleEnd> {
-        let (phase, accepted_at) = (&mut self.phase, self.accepted_at);
+        let (phase, accepted_at, lag) = (&mut self.phase, self.accepted_at, &self.frontend.lag);
         let read = tokio::select! {
             biased;
             read = sockets::read(&self.input.stream, self.input.reader.buffer()) => Some(read?),
             () = async {
                 // Waiting fails only if the sender is dropped, which does not happen while the gateway runs.
                 let _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await;
-                sleep_until(accepted_at + CLOSING_FIRST_BYTE_TIMEOUT).await;
+                lag.sleep_until(accepted_at + CLOSING_FIRST_BYTE_TIMEOUT).await;
             } => None,
             () = self.slot.evicted() => None,
-            () = sleep(IDLE_TIMEOUT) => None,
+            () = lag.sleep(IDLE_TIMEOUT) => None,
         };
         match read {
             None => return Ok(IdleEnd::Expired),
@@ -150,17 +150,17 @@
         self.has_begun_request = true;
         let read = tokio::select! {
             biased;
-            read = timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
+            read = self.frontend.lag.timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
             () = self.slot.evicted() => return ReadOutcome::Evicted(CloseReason::Descriptor),
         };
         match read {
-            Ok(Ok(ReceivedRequest::Complete(request))) => ReadOutcome::Request(request),
-            Ok(Ok(ReceivedRequest::Skipped(count))) => ReadOutcome::Skipped(count),
-            Ok(Ok(ReceivedRequest::ClientClosed)) => ReadOutcome::ClientClosed,
-            Ok(Err(ReadError::Parse(e))) => ReadOutcome::Invalid(e.into()),
-            Ok(Err(ReadError::Io(e))) => ReadOutcome::Failed(e),
-            Ok(Err(ReadError::Memory(_))) => ReadOutcome::Evicted(CloseReason::MemoryForRequest),
-            Err(_) => {
+            Some(Ok(ReceivedRequest::Complete(request))) => ReadOutcome::Request(request),
+            Some(Ok(ReceivedRequest::Skipped(count))) => ReadOutcome::Skipped(count),
+            Some(Ok(ReceivedRequest::ClientClosed)) => ReadOutcome::ClientClosed,
+            Some(Err(ReadError::Parse(e))) => ReadOutcome::Invalid(e.into()),
+            Some(Err(ReadError::Io(e))) => ReadOutcome::Failed(e),
+            Some(Err(ReadError::Memory(_))) => ReadOutcome::Evicted(CloseReason::MemoryForRequest),
+            None => {
                 self.record_close(CloseReason::RequestTimeout);
                 ReadOutcome::Invalid(LocalResponse::RequestTimeout)
             }
@@ -173,7 +173,7 @@
         self.slot.set_state(ConnectionState::Lingering);
         tokio::select! {
             biased;
-            lingered = linger(&mut self.input.stream) => lingered,
+            lingered = linger(&self.frontend.lag, &mut self.input.stream) => lingered,
             () = self.slot.evicted() => Ok(()),
         }
     }
@@ -191,7 +191,7 @@
         if is_evicted {
             return linger_evicted(self.frontend, &mut self.input.stream).await;
         }
-        linger(&mut self.input.stream).await
+        linger(&self.frontend.lag, &mut self.input.stream).await
     }
 
     /// Closes a connection that was evicted in the middle of a request. The request is rejected, because its
@@ -210,7 +210,7 @@
 /// the budget. If none is free, the connection is closed at once.
 async fn linger_evicted(frontend: &Frontend, stream: &mut TcpStream) -> io::Result<()> {
     match frontend.lingering_slots.try_acquire() {
-        Ok(_permit) => linger(stream).await,
+        Ok(_permit) => linger(&frontend.lag, stream).await,
         Err(_) => Ok(()),
     }
 }
--- a/gateway/src/listener/read_ahead.rs
+++ b/gateway/src/listener/read_ahead.rs
@@ -10,7 +10,7 @@
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::sockets::{self, ReceivedNow};
 use crate::work_budget::READ_COST_US;
-use std::future::pending;
+use std::future::{pending, ready};
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -25,6 +25,9 @@
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 /// The number of bytes that are read between two pauses.
 const BATCH_BYTES: usize = 64 * 1024;
+/// A batch of at least this size may have filled the receive window, so that the kernel receives more as soon as
+/// the batch has been read.
+const MIN_WINDOW_BYTES: usize = 16 * 1024;
 /// The pause after each batch, so that a flooding client does not starve other clients.
 const BATCH_PAUSE: Duration = Duration::from_millis(1);
 
@@ -40,7 +43,7 @@
 enum Batch {
     /// All bytes that have arrived have been read.
     Drained,
-    /// More bytes have arrived than a batch has.
+    /// More bytes may have arrived.
     Full,
     /// The client has disconnected.
     Disconnected,
@@ -58,7 +61,6 @@
             match self.read_batch(&mut unkept) {
                 Batch::Drained => return true,
                 Batch::Disconnected => return false,
-                // The kernel may receive more as soon as bytes have been read.
                 Batch::Full => sleep(BATCH_PAUSE).await,
             }
         }
@@ -70,23 +72,32 @@
     pub(super) async fn disconnected(&mut self) {
         let mut unkept = Unkept::default();
         loop {
-            let is_readable = tokio::select! {
+            tokio::select! {
                 biased;
                 () = evicted(&mut self.queue_lease) => {
                     self.skip_queued();
                     continue;
                 }
-                readable = self.stream.readable() => readable.is_ok(),
-            };
-            if !is_readable || self.read_batch(&mut unkept) == Batch::Disconnected {
+                // A connection that is broken is readable as well.
+                _ = self.stream.readable(), if !self.unread_input.is_pending() => {}
+                () = ready(()), if self.unread_input.is_pending() => {}
+            }
+            if self.read_batch(&mut unkept) == Batch::Disconnected {
                 return;
             }
             sleep(BATCH_PAUSE).await;
         }
     }
 
-    /// Reads a batch of received bytes without waiting.
+    /// Reads a batch of received bytes without waiting, and records whether more has arrived.
     fn read_batch(&mut self, unkept: &mut Unkept) -> Batch {
+        let batch = self.read_up_to_batch(unkept);
+        // After a disconnect, attempts wait until it has cancelled them.
+        self.unread_input.set_pending(batch != Batch::Drained);
+        batch
+    }
+
+    fn read_up_to_batch(&mut self, unkept: &mut Unkept) -> Batch {
         let mut batch_bytes = 0;
         while batch_bytes < BATCH_BYTES {
             let has_ended = self.queue.end().is_some();
@@ -97,7 +108,8 @@
             };
             let read_bytes = match received {
                 ReceivedNow::Bytes(read_bytes) => read_bytes,
-                ReceivedNow::Nothing => return Batch::Drained,
+                ReceivedNow::Nothing if batch_bytes < MIN_WINDOW_BYTES => return Batch::Drained,
+                ReceivedNow::Nothing => return Batch::Full,
                 ReceivedNow::Ended => return Batch::Disconnected,
             };
             batch_bytes += read_bytes;
--- a/gateway/src/listener/request.rs
+++ b/gateway/src/listener/request.rs
@@ -2,7 +2,7 @@
 //! end-to-end fields and the body are forwarded as received.
 use super::client::ArrivedRequest;
 use super::Frontend;
-use crate::events::{RawRequest, Request, Response};
+use crate::events::{RawRequest, Request, Response, UnreadInput};
 use crate::http1::{CompleteMessage, RequestLine};
 use crate::memory::MemoryLease;
 use crate::memory_budget::Work;
@@ -51,7 +51,7 @@
 impl Frontend {
     /// Converts an arrived message to a request, and reserves its correlation id.
     pub(super) fn parse_request(
-        &self, arrived: ArrivedRequest, respond_to: oneshot::Sender<Response>,
+        &self, arrived: ArrivedRequest, unread_input: UnreadInput, respond_to: oneshot::Sender<Response>,
     ) -> Result<Request, InvalidRequest> {
         let ArrivedRequest { message, arrived_at, lease } = arrived;
         let fields = &message.fields;
@@ -86,7 +86,7 @@
             "request read"
         );
         let (deadline, raw) = (now + time_left, raw_request(&message, lease));
-        Ok(Request { id, class, tenant, deadline, raw, correlation_id, respond_to })
+        Ok(Request { id, class, tenant, deadline, raw, correlation_id, respond_to, unread_input })
     }
 }
 
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -19,7 +19,7 @@
 use std::io;
 use std::time::Duration;
 use tokio::sync::oneshot;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::Instant;
 use tracing::debug;
 
 /// The time within which a response must be written completely.
@@ -122,7 +122,8 @@
             return Err(local).into();
         }
         let (respond_to, mut response) = oneshot::channel();
-        let request = match self.frontend.parse_request(request, respond_to) {
+        let request = match self.frontend.parse_request(request, self.input.unread_input.clone(), respond_to)
+        {
             Ok(request) => request,
             Err(invalid) => return invalid.into(),
         };
@@ -187,8 +188,8 @@
             };
             tokio::select! {
                 biased;
-                written = timeout_at(write_until, sockets::write_all(&self.input.stream, &mut bytes)) => {
-                    return written?;
+                written = self.frontend.lag.timeout_at(write_until, sockets::write_all(&self.input.stream, &mut bytes)) => {
+                    return written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
                 }
                 () = response_evicted => {
                     self.frontend.closes.record(
--- a/gateway/src/permit.rs
+++ b/gateway/src/permit.rs
@@ -141,6 +141,8 @@
     /// The time by which the attempt must have been sent completely, for a retry of a request with an
     /// idempotency key; `None` for other attempts.
     pub send_by: Option<Instant>,
+    /// Whether the client has sent more than has been read, so that it may have disconnected.
+    pub has_unread_input: bool,
     /// Whether the endpoint is still in service, in the incarnation that the balancer picked.
     pub endpoint_in_service: bool,
     /// Whether the attempt has been cancelled.
@@ -153,7 +155,7 @@
     /// # Errors
     /// Returns the first reason why the first byte may not be written.
     pub fn check(&self, now: Instant) -> Result<(), Denial> {
-        if self.is_cancelled {
+        if self.is_cancelled || self.has_unread_input {
             return Err(Denial::RequestClosed);
         }
         if !self.endpoint_in_service {
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -108,10 +108,12 @@
         let (watch_requests, watch_request_queue) = watch_request_channel(&deployment);
         let (phase, phase_receiver) = watch::channel(ShutdownPhase::Serving);
         let (violations, lag) = (Violations::default(), LoopLag::default());
-        let upstream =
-            new_upstream(&deployment, events.clone(), &budgets).with_violations(violations.clone());
+        let upstream = new_upstream(&deployment, events.clone(), &budgets)
+            .with_violations(violations.clone())
+            .with_lag(lag.clone());
         let longest_deadline = longest_deadline(&deployment);
-        let list_source = ListSource::new(control, discovery, &deployment, &cached_list, &budgets);
+        let list_source =
+            ListSource::new(control, discovery, &deployment, &cached_list, &budgets, lag.clone());
         let cached_list = list_source.initial_list(cached_list);
         let (revision, endpoints) = (cached_list.revision, cached_list.endpoints.len());
         let dependencies = Dependencies {
@@ -228,7 +230,7 @@
 impl ListSource {
     fn new(
         control: Option<ControlConfig>, address: DiscoveryAddressReceiver, deployment: &Deployment,
-        cached_list: &EndpointList, budgets: &Budgets,
+        cached_list: &EndpointList, budgets: &Budgets, lag: LoopLag,
     ) -> Self {
         if let Some(control) = control {
             return ListSource::Control { control: Box::new(control), cached_list: cached_list.clone() };
@@ -244,6 +246,7 @@
             revision: (!cached_list.endpoints.is_empty()).then_some(cached_list.revision),
             renewal_delay: discovery::renewal_delay(index, gateway_count),
             memory: budgets.memory.clone(),
+            lag,
         };
         ListSource::Discovery { address, config }
     }
--- a/gateway/src/upstream/attempt.rs
+++ b/gateway/src/upstream/attempt.rs
@@ -1,5 +1,5 @@
 //! Attempts and health checks as the event loop hands them to [`Upstream`](super::Upstream).
-use crate::events::RawRequest;
+use crate::events::{RawRequest, UnreadInput};
 use std::net::SocketAddr;
 use std::sync::Weak;
 use ternstack_balancer::{EndpointId, Outcome, RequestId};
@@ -44,6 +44,8 @@
     pub address: SocketAddr,
     /// The bytes to send.
     pub raw: RawRequest,
+    /// Whether the client has sent more than has been read, so that a disconnect behind it is not known yet.
+    pub unread_input: UnreadInput,
     /// The time at which the attempt is given up.
     pub give_up_at: Instant,
     /// The time by which a retry must have been sent completely, because endpoints drop it as a duplicate
--- a/gateway/src/upstream/connection.rs
+++ b/gateway/src/upstream/connection.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 use ternstack_balancer::Outcome;
 use tokio::net::TcpStream;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{sleep_until, Instant};
 use tracing::debug;
 
 /// How long after a response a connection carries no attempt. Excess bytes that arrive in this time close the
@@ -21,14 +21,13 @@
 
 /// Connects to the endpoint of the first attempt, and carries attempts until the connection cannot be reused.
 pub(super) async fn run(upstream: Upstream, _slot: ConnectionSlot, mut attempt: Attempt) {
-    let mut decided_at = Instant::now();
     let stream = match dial(&upstream, &mut attempt).await {
         Ok(stream) => stream,
         Err(outcome) => return upstream.report_end(&attempt, outcome.into()).await,
     };
     loop {
         let mut reader = Reader::new(MAX_BODY_BYTES);
-        let end = exchange(&upstream, &stream, &mut reader, &mut attempt, decided_at).await;
+        let end = exchange(&upstream, &stream, &mut reader, &mut attempt).await;
         // A connection is not reused for an endpoint that has moved, restarted or stopped serving.
         let is_same_incarnation = attempt.is_endpoint_in_service();
         let keep_alive = end.response.as_ref().is_some_and(|response| response.message.keep_alive);
@@ -47,7 +46,6 @@
         drop(reader);
         let Some(next) = next_attempt(&upstream, &stream, pooled, &attempt).await else { return };
         attempt = next;
-        decided_at = Instant::now();
         tokio::select! {
             biased;
             _ = &mut attempt.cancelled => {
@@ -57,7 +55,11 @@
             // The endpoint has closed the connection or sent excess bytes. The attempt has not been sent yet,
             // so it is started again on another connection.
             () = closed_or_excess_bytes(&stream) => return upstream.start(attempt),
-            () = sleep_until(reusable_at) => {}
+            // The endpoint may have done so during a stall, also if the delay had passed before the stall.
+            () = async {
+                sleep_until(reusable_at).await;
+                upstream.lag.catch_up().await;
+            } => {}
         }
     }
 }
@@ -72,7 +74,7 @@
         // The channel fails if the pool has closed the connection.
         next = &mut pooled.next_attempt => return next.ok(),
         () = closed_or_excess_bytes(stream) => {}
-        () = sleep_until(idle_until) => {}
+        () = upstream.lag.sleep_until(idle_until) => {}
     }
     upstream.pool.remove(last.endpoint, pooled.number);
     None
@@ -101,13 +103,13 @@
     let dialled = tokio::select! {
         biased;
         _ = &mut attempt.cancelled => return Err(Outcome::NotSent),
-        dialled = timeout_at(dial_by, TcpStream::connect(attempt.address)) => dialled,
+        dialled = upstream.lag.timeout_at(dial_by, TcpStream::connect(attempt.address)) => dialled,
     };
     match dialled.map(with_nodelay) {
-        Ok(Ok(stream)) => Ok(stream),
+        Some(Ok(stream)) => Ok(stream),
         // The endpoint is not to blame if this machine lacks descriptors, ports or memory.
-        Ok(Err(e)) if is_local(&e) => Err(Outcome::NotSent),
-        Err(_) if attempt.is_past_send_by() => Err(Outcome::NotSent),
+        Some(Err(e)) if is_local(&e) => Err(Outcome::NotSent),
+        None if attempt.is_past_send_by() => Err(Outcome::NotSent),
         _ => Err(Outcome::ConnectFailed),
     }
 }
--- a/gateway/src/upstream/exchange.rs
+++ b/gateway/src/upstream/exchange.rs
@@ -1,24 +1,22 @@
 //! One attempt on an open connection: sends the request, receives the response, and determines the outcome.
 use super::attempt::{Attempt, Cancellation, Purpose};
 use super::{ExchangeEnd, Upstream};
-use crate::events::{RawRequest, ServedResponse};
+use crate::events::{RawRequest, ServedResponse, UnreadInput};
 use crate::http1::{CompleteMessage, Reader, StatusLine};
 use crate::invariants::{Invariant, Violations};
-use crate::loop_lag::catch_up;
-use crate::memory::{Memory, MemoryLease};
+use crate::memory::MemoryLease;
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::permit::{Denial, FirstByte};
 use crate::protocol::{UNPROCESSED, UNPROCESSED_VALUE};
 use crate::sockets;
 use bytes::{Buf, Bytes};
 use std::io;
-use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::Outcome;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 use tracing::{debug, info};
 
 /// The longest pause between two reads of a response. A response that pauses for longer counts as malformed,
@@ -30,15 +28,24 @@
 /// The longest time for which the process may be preempted between reading its clock and writing.
 const MAX_PREEMPTION: Duration = Duration::from_millis(150);
 
-/// Sends an attempt and waits for the response, until the attempt is given up or cancelled. `decided_at` is
-/// the time of the decision to send the attempt.
+/// The longest time for which an attempt waits until its client's input has been read. The input counts as a
+/// disconnect before that.
+const MAX_UNREAD_INPUT_WAIT: Duration = Duration::from_millis(100);
+/// The interval at which an attempt checks whether its client's input has been read.
+const UNREAD_INPUT_CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Sends an attempt and waits for the response, until the attempt is given up or cancelled.
 pub(super) async fn exchange(
     upstream: &Upstream, stream: &TcpStream, reader: &mut Reader<StatusLine>, attempt: &mut Attempt,
-    decided_at: Instant,
 ) -> ExchangeEnd {
-    // A client disconnect or an endpoint drain that would deny the attempt may still be unread after a slow
-    // connect or a stall of the process.
-    catch_up(decided_at).await;
+    // A client disconnect or an endpoint drain that would deny the attempt may still be unread after a stall of
+    // the process, even if the attempt was decided after the stall.
+    upstream.lag.catch_up().await;
+    tokio::select! {
+        biased;
+        _ = &mut attempt.cancelled => return Outcome::NotSent.into(),
+        () = wait_for_unread_input(&attempt.unread_input) => {}
+    }
     if let Err(denial) = check_first_byte(attempt) {
         debug!(purpose = ?attempt.purpose, ?denial, "attempt not sent");
         return Outcome::NotSent.into();
@@ -49,8 +56,17 @@
     tokio::select! {
         biased;
         () = cancelled_after_send(&mut attempt.cancelled) => Outcome::Cancelled.into(),
-        end = receive(&upstream.memory, stream, reader) => end,
-        () = sleep_until(attempt.give_up_at) => Outcome::ResponseTimeout.into(),
+        end = receive(upstream, stream, reader) => end,
+        () = upstream.lag.sleep_until(attempt.give_up_at) => Outcome::ResponseTimeout.into(),
+    }
+}
+
+/// Waits until all that the client has sent has been read, because it may have disconnected behind it. Input that
+/// takes longer to read than [`MAX_UNREAD_INPUT_WAIT`] ends the wait.
+async fn wait_for_unread_input(unread_input: &UnreadInput) {
+    let wait_until = Instant::now() + MAX_UNREAD_INPUT_WAIT;
+    while unread_input.is_pending() && Instant::now() < wait_until {
+        sleep(UNREAD_INPUT_CHECK_INTERVAL).await;
     }
 }
 
@@ -59,6 +75,7 @@
     FirstByte {
         give_up_at: attempt.give_up_at,
         send_by: attempt.send_by,
+        has_unread_input: attempt.unread_input.is_pending(),
         endpoint_in_service: attempt.is_endpoint_in_service(),
         is_cancelled: !matches!(attempt.cancelled.try_recv(), Err(TryRecvError::Empty)),
     }
@@ -115,7 +132,7 @@
 /// Receives the response to an attempt. A malformed response, or one that pauses for longer than
 /// [`MAX_RESPONSE_GAP`], is a `ServerError`, because the endpoint may have run the request. The same holds for
 /// a response that is larger than the whole memory budget.
-async fn receive(memory: &Arc<Memory>, stream: &TcpStream, reader: &mut Reader<StatusLine>) -> ExchangeEnd {
+async fn receive(upstream: &Upstream, stream: &TcpStream, reader: &mut Reader<StatusLine>) -> ExchangeEnd {
     let mut is_closed = false;
     let mut lease: Option<MemoryLease> = None;
     loop {
@@ -134,7 +151,7 @@
         if reader.memory_bytes() > SMALL_MESSAGE_BYTES {
             // All at once, so that two responses that are received in part do not wait for each other.
             let bytes = reader.memory_bytes().max(reader.max_memory_bytes());
-            let lease = lease.get_or_insert_with(|| memory.lease(Work::Accepted));
+            let lease = lease.get_or_insert_with(|| upstream.memory.lease(Work::Accepted));
             if lease.reserve(bytes).await.is_err() {
                 info!(bytes, "response does not fit into the memory budget");
                 return Outcome::ServerError.into();
@@ -142,10 +159,15 @@
         }
         let has_begun = reader.has_begun();
         let read = sockets::read(stream, reader.buffer());
-        match timeout(if has_begun { MAX_RESPONSE_GAP } else { Duration::MAX }, read).await {
-            Ok(Ok(read_bytes)) => is_closed = read_bytes == 0,
-            Ok(Err(_)) => return Outcome::ConnectionLost.into(),
-            Err(_) => return Outcome::ServerError.into(),
+        let read = if has_begun {
+            upstream.lag.timeout_at(Instant::now() + MAX_RESPONSE_GAP, read).await
+        } else {
+            Some(read.await)
+        };
+        match read {
+            Some(Ok(read_bytes)) => is_closed = read_bytes == 0,
+            Some(Err(_)) => return Outcome::ConnectionLost.into(),
+            None => return Outcome::ServerError.into(),
         }
     }
 }
--- a/gateway/src/upstream/mod.rs
+++ b/gateway/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 use crate::descriptors::Descriptors;
 use crate::events::{AttemptResult, EventSender, GatewayEvent, ServedResponse};
 use crate::invariants::Violations;
+use crate::loop_lag::LoopLag;
 use crate::memory::Memory;
 use crate::protocol::LOAD_REPORT;
 use pool::Pool;
@@ -49,6 +50,7 @@
     descriptors: Arc<Descriptors>,
     memory: Arc<Memory>,
     violations: Violations,
+    lag: LoopLag,
     idle_timeout: Duration,
     connect_timeout: Duration,
 }
@@ -69,6 +71,7 @@
             descriptors,
             memory: Memory::new(usize::MAX),
             violations: Violations::default(),
+            lag: LoopLag::default(),
             idle_timeout,
             connect_timeout,
         }
@@ -86,6 +89,12 @@
         self
     }
 
+    /// Uses `lag`, which another task measures, to notice that the process has stalled.
+    pub fn with_lag(mut self, lag: LoopLag) -> Self {
+        self.lag = lag;
+        self
+    }
+
     /// Sends an attempt over an idle connection to its endpoint, or over a new connection if none is idle.
     /// The result is sent to the event loop.
     pub fn start(&self, attempt: Attempt) {
--- a/gateway/tests/attempts.rs
+++ b/gateway/tests/attempts.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use ternstack_balancer::{EndpointId, Outcome, RequestId};
 use ternstack_gateway::descriptors::Descriptors;
-use ternstack_gateway::events::{GatewayEvent, RawRequest};
+use ternstack_gateway::events::{GatewayEvent, RawRequest, UnreadInput};
 use ternstack_gateway::upstream::{Attempt, Cancellation, Purpose, Upstream};
 use tokio::io::AsyncReadExt;
 use tokio::sync::{mpsc, oneshot};
@@ -51,6 +51,7 @@
             incarnation,
             address,
             raw,
+            unread_input: UnreadInput::default(),
             give_up_at,
             send_by,
             cancelled,
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use ternstack_gateway::discovery::{self, FollowConfig};
 use ternstack_gateway::events::{DiscoveryEvent, GatewayEvent};
+use ternstack_gateway::loop_lag::LoopLag;
 use ternstack_gateway::memory::Memory;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, Instant};
@@ -88,7 +89,13 @@
     let renewal_delay = discovery::renewal_delay(gateway_index, gateway_count);
     assert!(renewal_delay < Duration::from_secs(1), "{renewal_delay:?}");
     let memory = Memory::new(usize::MAX);
-    let config = FollowConfig { connect_timeout: TEST_TIMEOUT, revision: Some(41), renewal_delay, memory };
+    let config = FollowConfig {
+        connect_timeout: TEST_TIMEOUT,
+        revision: Some(41),
+        renewal_delay,
+        memory,
+        lag: LoopLag::default(),
+    };
     tokio::spawn(discovery::follow(address, config, requests, event_sender));
     request_sender.send(()).await.expect("the watch task is running");
     for n in 0..answered_polls {
--- a/gateway/tests/faults.rs
+++ b/gateway/tests/faults.rs
@@ -309,3 +309,178 @@
     connection.write(OK_RESPONSE).await;
     assert_eq!(client.read_response().await.expect("the gateway responds").start_line.code, 200);
 }
+
+/// A response that says that the request was not processed. The gateway tries again after some 2 s.
+const UNPROCESSED_RESPONSE: &str = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+/// How long after such a response a test stalls the gateway, shortly before the retry.
+const BEFORE_RETRY: Duration = Duration::from_millis(1800);
+/// How long a stall lasts, beyond the 100 ms that [`StallableGateway::stall`] takes.
+const STALL: Duration = Duration::from_millis(400);
+
+/// Ends a stall as the kernel does when a stopped process goes on: the wait for the sockets is interrupted, so
+/// that the runtime fires its timers before it looks at the sockets.
+fn end_stall(stall_guard: std::sync::mpsc::Sender<()>) {
+    inject_next(Kind::WaitInterrupted);
+    drop(stall_guard);
+}
+
+/// Stalls a gateway while a request waits for its retry, and calls `during_stall` in the stall. Returns whether
+/// the gateway sends the retry after the stall.
+async fn retries_after_stall(during_stall: impl AsyncFnOnce(Client, &mut StubDiscovery)) -> bool {
+    let _exclusive = exclusive_faults().await;
+    let (server, mut discovery) = (ScriptedServer::start().await, StubDiscovery::start().await);
+    let gateway =
+        start_gateway(&gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address));
+    let mut client = gateway.client().await;
+    client.send(&look_request("a")).await;
+    let mut connection = server.accept().await;
+    connection.read_request().await.expect("the request is forwarded");
+    connection.write(UNPROCESSED_RESPONSE).await;
+    sleep(BEFORE_RETRY).await;
+    let stall_guard = gateway.stall().await;
+    during_stall(client, &mut discovery).await;
+    sleep(STALL).await;
+    end_stall(stall_guard);
+    let retry = async {
+        tokio::select! {
+            request = connection.read_request() => request.is_some(),
+            mut connection = server.accept() => connection.read_request().await.is_some(),
+        }
+    };
+    timeout(Duration::from_millis(500), retry).await.unwrap_or(false)
+}
+
+// Guards against a retry for a client that has left while the process was held up (review case 10).
+#[tokio::test]
+async fn no_retry_that_is_due_during_a_stall_begins_if_its_client_has_disconnected() {
+    assert!(!retries_after_stall(async |client, _| drop(client)).await);
+    let mut kept_client = None;
+    assert!(retries_after_stall(async |client, _| kept_client = Some(client)).await, "otherwise it begins");
+}
+
+// Guards against a retry for a client that has left behind more bytes than are read at once.
+#[tokio::test]
+async fn no_retry_begins_if_its_client_has_disconnected_behind_pipelined_requests_during_a_stall() {
+    let disconnect = async |mut client: Client, _: &mut StubDiscovery| {
+        client.send(&look_request("behind").repeat(3000)).await;
+    };
+    assert!(!retries_after_stall(disconnect).await);
+}
+
+// Guards against a request to an endpoint whose drain has arrived while the process was held up.
+#[tokio::test]
+async fn no_retry_that_is_due_during_a_stall_is_sent_to_an_endpoint_that_drains() {
+    let mut kept_client = None;
+    let drain = async |client, discovery: &mut StubDiscovery| {
+        let (_, responder) = discovery.next_poll().await;
+        let list = endpoint_list(42, true, vec![]);
+        responder.send(ok_response(&list)).expect("the poll waits for its response");
+        kept_client = Some(client);
+    };
+    assert!(!retries_after_stall(drain).await);
+}
+
+// Guards against a second response that arrives in the reuse delay, while the process is held up, and is taken as
+// the response to another client's request.
+#[tokio::test]
+async fn a_surplus_response_during_a_stall_is_not_taken_as_the_response_to_the_next_request() {
+    let _exclusive = exclusive_faults().await;
+    let (server, discovery) = (ScriptedServer::start().await, StubDiscovery::start().await);
+    let gateway =
+        start_gateway(&gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address));
+    let (mut first, mut second) = (gateway.client().await, gateway.client().await);
+    first.send(&look_request("a")).await;
+    let mut connection = server.accept().await;
+    connection.read_request().await.expect("the request is forwarded");
+    connection.write(OK_RESPONSE).await;
+    assert_eq!(read_status(&mut first).await, Some(200));
+    second.send(&look_request("b")).await;
+    // By then the request waits for the end of the reuse delay.
+    sleep(Duration::from_millis(3)).await;
+    let stall_guard = gateway.stall().await;
+    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign").await;
+    end_stall(stall_guard);
+    let serving = async {
+        let mut connection = server.accept().await;
+        connection.read_request().await.expect("the request is forwarded on another connection");
+        connection.write(OK_RESPONSE).await;
+        connection
+    };
+    let (_connection, response) = tokio::join!(serving, second.read_response());
+    assert_eq!(response.expect("the gateway responds").body, "desk");
+}
+
+/// Sends a request, stalls the gateway when the server has received it, and has the server write `response` during
+/// the stall. Returns the status of the client's response.
+async fn status_of_response_during_stall(
+    request: &str, before_stall: &str, response: &str, change: impl FnOnce(&mut Value),
+) -> Option<u16> {
+    let _exclusive = exclusive_faults().await;
+    let (server, discovery) = (ScriptedServer::start().await, StubDiscovery::start().await);
+    let mut config = gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address);
+    change(&mut config);
+    let gateway = start_gateway(&config);
+    let mut client = gateway.client().await;
+    client.send(request).await;
+    let mut connection = server.accept().await;
+    connection.read_request().await.expect("the request is forwarded");
+    connection.write(before_stall).await;
+    sleep(Duration::from_millis(20)).await;
+    let stall_guard = gateway.stall().await;
+    connection.write(response).await;
+    sleep(STALL).await;
+    end_stall(stall_guard);
+    read_status(&mut client).await
+}
+
+// Guards against a deadline that comes before a response which arrived in time while the process was held up.
+#[tokio::test]
+async fn a_response_that_arrives_before_the_deadline_during_a_stall_is_forwarded() {
+    let request = look_request("a").replace("\r\n\r\n", "\r\nX-Time-Left-Ms: 350\r\n\r\n");
+    assert_eq!(status_of_response_during_stall(&request, "", OK_RESPONSE, |_| ()).await, Some(200));
+}
+
+// Guards against a response that counts as interrupted because its rest arrived while the process was held up.
+#[tokio::test]
+async fn a_response_whose_rest_arrives_during_a_stall_is_forwarded() {
+    let (begin, rest) = OK_RESPONSE.split_at(30);
+    let one_attempt = |config: &mut Value| config["settings"]["limits"]["max_attempts"] = json!(1);
+    let status = status_of_response_during_stall(&look_request("a"), begin, rest, one_attempt).await;
+    assert_eq!(status, Some(200));
+}
+
+/// Has a client send `before`, waits for `wait`, stalls the gateway, and has the client send `rest` during the
+/// stall. Returns the status of the client's last response.
+async fn status_of_request_during_stall(before: &str, wait: Duration, rest: &str) -> Option<u16> {
+    let _exclusive = exclusive_faults().await;
+    let (server, discovery) = (StubServer::start(SERVE).await, StubDiscovery::start().await);
+    let gateway =
+        start_gateway(&gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], discovery.address));
+    let mut client = gateway.client().await;
+    assert_eq!(client.request(&look_request("first")).await.start_line.code, 200);
+    client.send(before).await;
+    sleep(wait).await;
+    let stall_guard = gateway.stall().await;
+    client.send(rest).await;
+    sleep(STALL).await;
+    end_stall(stall_guard);
+    read_status(&mut client).await
+}
+
+// Guards against an idle connection that is closed although a request has arrived while the process was held up.
+#[tokio::test]
+async fn a_request_that_arrives_on_an_idle_connection_during_a_stall_is_served() {
+    // Shortly before an idle connection is closed.
+    let wait = Duration::from_millis(1700);
+    assert_eq!(status_of_request_during_stall("", wait, &look_request("a")).await, Some(200));
+}
+
+// Guards against a request that counts as too slow because its rest arrived while the process was held up.
+#[tokio::test]
+async fn a_request_whose_rest_arrives_during_a_stall_is_served() {
+    let request = look_request("a");
+    let (begin, rest) = request.split_at(20);
+    // Shortly before an incomplete request is given up.
+    let wait = Duration::from_millis(2200);
+    assert_eq!(status_of_request_during_stall(begin, wait, rest).await, Some(200));
+}
--- a/gateway/tests/upstream.rs
+++ b/gateway/tests/upstream.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use ternstack_balancer::{EndpointId, LoadReport, Outcome, RequestId};
 use ternstack_gateway::descriptors::Descriptors;
-use ternstack_gateway::events::{AttemptResult, GatewayEvent, RawRequest};
+use ternstack_gateway::events::{AttemptResult, GatewayEvent, RawRequest, UnreadInput};
 use ternstack_gateway::upstream::{Attempt, Cancellation, Purpose, Upstream};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
@@ -65,6 +65,7 @@
             incarnation,
             address,
             raw,
+            unread_input: UnreadInput::default(),
             give_up_at,
             send_by,
             cancelled,
