Pause only connections that exceed a rate of their own

Cause: the debt of every connection was paid at the rate of the heavy ones, which is 5% of a core divided by their number. Beside 330 heavy connections an ordinary client was heavy after some seventy requests and paused before each read, up to 0.5 s each.

The time for which bytes wait for the gateway pays nothing, so that floods do not earn work by keeping it busy.

--- a/gateway/src/budgets.rs
+++ b/gateway/src/budgets.rs
@@ -43,10 +43,19 @@
         }
     }
 
-    /// Charges a client connection for work. Returns how long the connection must pause, in milliseconds.
+    /// Records that a client connection has waited for its client or for an endpoint until now.
+    pub fn rest(&self, meter: &mut WorkMeter) {
+        self.work().rest(meter, self.now_ms());
+    }
+
+    /// Charges a client connection for work on bytes that have been waiting since its last charge, pause or rest.
+    /// Returns how long the connection must pause, in milliseconds.
     pub fn charge(&self, id: ConnectionId, meter: &mut WorkMeter, cost_us: f64) -> f64 {
-        let now_ms = self.start.elapsed().as_secs_f64() * 1000.0;
-        self.work().charge(id, meter, cost_us, now_ms)
+        self.work().charge_backlog(id, meter, cost_us, self.now_ms())
+    }
+
+    fn now_ms(&self) -> f64 {
+        self.start.elapsed().as_secs_f64() * 1000.0
     }
 
     /// Forgets the work of a client connection that has ended.
--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -269,12 +269,14 @@
     /// doubled since the last parsing. Parsing after every read would take quadratic time if a peer sends
     /// single bytes.
     fn should_parse_head(&mut self) -> bool {
+        if self.buffer.len() >= self.min_parse_bytes {
+            self.scanned_bytes = self.buffer.len();
+            return true;
+        }
         let unscanned_at = self.scanned_bytes.saturating_sub(HEAD_END_OVERLAP_BYTES).min(self.buffer.len());
         let unscanned = &self.buffer[unscanned_at..];
-        let has_end =
-            unscanned.windows(2).any(|w| w == b"\n\n") || unscanned.windows(3).any(|w| w == b"\n\r\n");
         self.scanned_bytes = self.buffer.len();
-        !self.buffer.is_empty() && (self.buffer.len() >= self.min_parse_bytes || has_end)
+        unscanned.windows(2).any(|w| w == b"\n\n") || unscanned.windows(3).any(|w| w == b"\n\r\n")
     }
 
     /// Removes the received part of a chunked body, or another body once it is complete, from the buffer.
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -8,11 +8,12 @@
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::protocol::CONTINUE;
 use crate::sockets::{self, ReceivedNow};
-use crate::work_budget::{READ_COST_US, REQUEST_COST_US};
+use crate::work_budget::{READ_COST_US, REQUEST_COST_US, SKIPPED_REQUEST_COST_US};
 use std::future::pending;
 use std::io;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::task::coop::consume_budget;
 use tokio::task::yield_now;
 use tokio::time::Instant;
 
@@ -148,7 +149,6 @@
             if self.read().await? == 0 {
                 return Ok(ReceivedRequest::ClientClosed);
             }
-            self.set_received();
             self.pacer.charge(self.frontend, READ_COST_US);
         }
     }
@@ -185,8 +185,12 @@
     fn take_queued(&mut self) -> Option<ReceivedRequest> {
         let mut request = match self.queue.pop(MAX_REJECTED_AT_ONCE)? {
             NextRequest::Complete(request) => request,
-            NextRequest::Skipped(count) => return Some(ReceivedRequest::Skipped(count)),
+            NextRequest::Skipped(count) => {
+                self.pacer.charge(self.frontend, count as f64 * SKIPPED_REQUEST_COST_US);
+                return Some(ReceivedRequest::Skipped(count));
+            }
         };
+        self.pacer.begin_request();
         self.pacer.charge(self.frontend, REQUEST_COST_US);
         let memory_bytes = request.message.memory_bytes();
         if self.queue_lease.is_some() && request.lease.is_none() && memory_bytes > SMALL_MESSAGE_BYTES {
@@ -216,11 +220,19 @@
                 None => pending().await,
             }
         };
-        tokio::select! {
+        let read_bytes = tokio::select! {
             biased;
-            read = sockets::read(&self.stream, self.reader.buffer()) => Ok(read?),
-            () = evicted => Err(MemoryExhausted.into()),
-        }
+            read = receive(&self.stream, &mut self.reader, &mut self.pacer, self.frontend) => read?,
+            () = evicted => return Err(MemoryExhausted.into()),
+        };
+        self.set_received();
+        Ok(read_bytes)
+    }
+
+    /// Waits for the first bytes of the next request and reads them. Returns the number of bytes, which is 0 once
+    /// the client has ended its sending side. Cancel safe.
+    pub(super) async fn read_first_bytes(&mut self) -> io::Result<usize> {
+        receive(&self.stream, &mut self.reader, &mut self.pacer, self.frontend).await
     }
 
     /// Returns whether bytes of a request have arrived on a connection that is about to be closed as idle. After
@@ -232,6 +244,22 @@
     }
 }
 
+/// Reads from a client connection. Records that the connection rests if nothing has arrived. Cancel safe.
+async fn receive(
+    stream: &TcpStream, reader: &mut Reader<RequestLine>, pacer: &mut Pacer, frontend: &Frontend,
+) -> io::Result<usize> {
+    // Lets other tasks run even if the client sends without a pause.
+    consume_budget().await;
+    match sockets::read_now(stream, reader.buffer()) {
+        ReceivedNow::Bytes(read_bytes) => return Ok(read_bytes),
+        ReceivedNow::Ended => return Ok(0),
+        ReceivedNow::Nothing => {}
+    }
+    let read = sockets::read(stream, reader.buffer()).await;
+    pacer.rest(frontend);
+    read
+}
+
 fn expects_continue(fields: &Fields) -> bool {
     fields.get("expect").is_some_and(|value| value.eq_ignore_ascii_case(b"100-continue"))
 }
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -8,7 +8,6 @@
 use crate::closes::CloseReason;
 use crate::events::Response;
 use crate::response::LocalResponse;
-use crate::sockets;
 use crate::work_budget::ConnectionId;
 use std::io;
 use std::time::Duration;
@@ -122,7 +121,7 @@
         let (phase, accepted_at, lag) = (&mut self.phase, self.accepted_at, &self.frontend.lag);
         let read = tokio::select! {
             biased;
-            read = sockets::read(&self.input.stream, self.input.reader.buffer()) => Some(read?),
+            read = self.input.read_first_bytes() => Some(read?),
             () = async {
                 // Waiting fails only if the sender is dropped, which does not happen while the gateway runs.
                 let _ = phase.wait_for(|phase| *phase >= ShutdownPhase::Closing).await;
--- a/gateway/src/listener/read_ahead.rs
+++ b/gateway/src/listener/read_ahead.rs
@@ -15,11 +15,14 @@
 use tokio::time::sleep;
 
 /// The maximum memory of the requests behind an open one.
-const MAX_QUEUE_BYTES: usize = 4 << 20;
+const MAX_QUEUE_BYTES: usize = 2 << 20;
 /// The maximum number of bytes that are read while a request is open and cannot be kept. Beyond it, the open
 /// request and all requests behind it are rejected, because a disconnect behind so many bytes would be noticed
 /// too late.
 const MAX_SKIPPED_BYTES: usize = 4 << 20;
+/// The maximum number of requests that have been skipped and not been rejected yet, in the same way. It bounds the
+/// work on the requests of a client that sends without a pause.
+const MAX_SKIPPED_REQUESTS: usize = 4096;
 /// The maximum number of bytes that are discarded behind the last request while a request is open. A client that
 /// sends more counts as disconnected.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
@@ -67,7 +70,7 @@
     }
 
     /// Waits until the client disconnects, which means that it closes the connection or its sending side, or
-    /// sends more than [`MAX_SKIPPED_BYTES`] that cannot be kept, or more than [`MAX_DISCARDED_BYTES`] behind
+    /// sends more than [`MAX_SKIPPED_BYTES`] or [`MAX_SKIPPED_REQUESTS`] that cannot be kept, or more than [`MAX_DISCARDED_BYTES`] behind
     /// its last request.
     pub(super) async fn disconnected(&mut self) {
         let mut unkept = Unkept::default();
@@ -115,10 +118,10 @@
             batch_bytes += read_bytes;
             if has_ended {
                 unkept.discarded_bytes += read_bytes;
-            } else if self.receive_behind_open_request() {
-                unkept.skipped_bytes += read_bytes;
+            } else {
+                self.receive_behind_open_request(read_bytes, unkept);
             }
-            if unkept.skipped_bytes > MAX_SKIPPED_BYTES {
+            if unkept.skipped_bytes > MAX_SKIPPED_BYTES || self.queue.skipped_count() > MAX_SKIPPED_REQUESTS {
                 self.queue.set_end(InputEnd::Excess);
             }
             if self.queue.end() == Some(InputEnd::Excess) || unkept.discarded_bytes > MAX_DISCARDED_BYTES {
@@ -129,14 +132,15 @@
         Batch::Full
     }
 
-    /// Adds the requests among the bytes that have just been read to the queue. Returns whether a part of the
-    /// bytes was skipped.
-    fn receive_behind_open_request(&mut self) -> bool {
+    /// Adds the requests among the `read_bytes` that have just been read to the queue.
+    fn receive_behind_open_request(&mut self, read_bytes: usize, unkept: &mut Unkept) {
         self.set_received();
         let was_skipping = self.is_skipping;
         self.parse_received();
         self.reserve_queue();
-        was_skipping || self.is_skipping
+        if was_skipping || self.is_skipping {
+            unkept.skipped_bytes += read_bytes;
+        }
     }
 
     /// Reserves the memory of the queued requests and of the incomplete one behind them. If the budget has no
--- a/gateway/src/listener/request_queue.rs
+++ b/gateway/src/listener/request_queue.rs
@@ -50,6 +50,8 @@
 pub(super) struct RequestQueue {
     requests: VecDeque<NextRequest>,
     memory_bytes: usize,
+    /// The number of requests that were skipped as they were received and have not been taken yet.
+    skipped_count: usize,
     end: Option<InputEnd>,
 }
 
@@ -68,6 +70,11 @@
         self.memory_bytes
     }
 
+    /// Returns the number of requests that were skipped as they were received and have not been taken yet.
+    pub(super) fn skipped_count(&self) -> usize {
+        self.skipped_count
+    }
+
     pub(super) fn push(&mut self, request: QueuedRequest) {
         self.memory_bytes += request.memory_bytes();
         if !request.message.keep_alive {
@@ -78,6 +85,7 @@
 
     /// Adds a complete request that has been skipped. `keep_alive` says whether another request may follow.
     pub(super) fn push_skipped(&mut self, keep_alive: bool) {
+        self.skipped_count += 1;
         if !keep_alive {
             self.set_end(InputEnd::LastRequest);
         }
@@ -110,12 +118,14 @@
         if let Some(NextRequest::Skipped(count)) = self.requests.front_mut() {
             if *count > max_skipped {
                 *count -= max_skipped;
+                self.skipped_count = self.skipped_count.saturating_sub(max_skipped);
                 return Some(NextRequest::Skipped(max_skipped));
             }
         }
         let next = self.requests.pop_front()?;
-        if let NextRequest::Complete(request) = &next {
-            self.memory_bytes -= request.memory_bytes();
+        match &next {
+            NextRequest::Complete(request) => self.memory_bytes -= request.memory_bytes(),
+            NextRequest::Skipped(count) => self.skipped_count = self.skipped_count.saturating_sub(*count),
         }
         if self.requests.is_empty() {
             // A long queue keeps no memory once it is empty.
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -150,7 +150,10 @@
         }
         tokio::select! {
             biased;
-            response = &mut response => return Ok(response.unwrap_or(Response::Failed)).into(),
+            response = &mut response => {
+                self.input.pacer.rest(self.frontend);
+                return Ok(response.unwrap_or(Response::Failed)).into();
+            }
             () = self.input.disconnected() => {}
         }
         let _ = events.send(GatewayEvent::ClientDisconnected(id)).await;
