Count a request's time from when its bytes could have been read

Cause: the arrival was stamped after the read that completed a request. What came before that read (a pause of a heavy connection, a wait for memory, the writing of a response that the client is slow to read) moved the deadline later by as much.

Change: while the gateway waits for something else it watches the socket (`watch`), and the time counts from the first sign of bytes until a read finds nothing. Where it does not know whether bytes wait, the earlier time counts.

--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -107,6 +107,11 @@
         &mut self.buffer
     }
 
+    /// Returns whether the next bytes can be appended without another allocation.
+    pub fn has_room(&self) -> bool {
+        self.next_allocation_bytes().is_none()
+    }
+
     /// Returns the size of the buffer that the next call of [`Reader::buffer`] allocates: at least twice the
     /// received bytes, but no larger than the message needs. Returns `None` while the buffer has free space.
     fn next_allocation_bytes(&self) -> Option<usize> {
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -4,13 +4,15 @@
 use super::{ConnectionGuard, Frontend, ShutdownPhase};
 use crate::events::UnreadInput;
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
+use crate::loop_lag::LoopLag;
 use crate::memory::{MemoryExhausted, MemoryLease};
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::protocol::CONTINUE;
 use crate::sockets::{self, ReceivedNow};
 use crate::work_budget::{READ_COST_US, REQUEST_COST_US, SKIPPED_REQUEST_COST_US};
-use std::future::pending;
+use std::future::{pending, Future};
 use std::io;
+use std::pin::pin;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::task::coop::consume_budget;
@@ -68,6 +70,9 @@
     pub(super) unread_input: UnreadInput,
     /// The time since which the connection's first bytes may have been waiting for the accept.
     pub(super) accepted_bytes_since: Option<Instant>,
+    /// The time since which bytes that have not been read may have been waiting; `None` if none are known to wait.
+    /// It is kept until a read finds nothing, because the bytes behind those that are read may be as old.
+    pub(super) waiting_since: Option<Instant>,
     /// The earliest time at which the bytes that were read last may have arrived.
     received_at: Instant,
     /// The memory of the incomplete request, if it is large.
@@ -87,6 +92,7 @@
             is_skipping: false,
             unread_input: UnreadInput::default(),
             accepted_bytes_since: Some(arrived_at),
+            waiting_since: None,
             received_at: arrived_at,
             lease: None,
             pacer: Pacer::new(guard.id),
@@ -113,8 +119,14 @@
 
     /// Records that bytes have just been read.
     pub(super) fn set_received(&mut self) {
-        let accepted_bytes_since = self.accepted_bytes_since.take();
-        self.received_at = accepted_bytes_since.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
+        self.waiting_since = self.accepted_bytes_since.take().or(self.waiting_since);
+        self.received_at = self.waiting_since.unwrap_or_else(|| self.frontend.lag.earliest_arrival());
+    }
+
+    /// Records that the bytes that are read next may have been waiting since now, because the gateway does
+    /// something else first.
+    pub(super) fn set_waiting(&mut self) {
+        self.waiting_since.get_or_insert_with(|| self.frontend.lag.earliest_arrival());
     }
 
     /// Returns the next request, and reads until one is complete.
@@ -140,11 +152,18 @@
             }
             if !has_continued && self.reader.awaiting_body().is_some_and(expects_continue) {
                 has_continued = true;
-                sockets::write_all(&self.stream, &mut &CONTINUE[..]).await?;
+                let mut bytes = CONTINUE;
+                let written = sockets::write_all(&self.stream, &mut bytes);
+                watch(&self.stream, &self.frontend.lag, &mut self.waiting_since, written).await?;
             }
             // A request that is complete must have its response before the process may be killed.
-            if self.frontend.phase() == ShutdownPhase::Serving {
-                self.pacer.pause().await;
+            if self.pacer.must_pause() && self.frontend.phase() == ShutdownPhase::Serving {
+                let has_read = self.read_without_growth();
+                watch(&self.stream, &self.frontend.lag, &mut self.waiting_since, self.pacer.pause()).await;
+                if has_read {
+                    self.pacer.charge(self.frontend, READ_COST_US);
+                    continue;
+                }
             }
             if self.read().await? == 0 {
                 return Ok(ReceivedRequest::ClientClosed);
@@ -204,6 +223,25 @@
         Some(ReceivedRequest::Complete(ArrivedRequest { message, arrived_at, lease }))
     }
 
+    /// Reads what has arrived into the free part of the buffer, so that the runtime notices when the next bytes
+    /// arrive. Returns whether bytes were read.
+    fn read_without_growth(&mut self) -> bool {
+        if !self.reader.has_room() {
+            return false;
+        }
+        match sockets::read_now(&self.stream, self.reader.buffer()) {
+            ReceivedNow::Bytes(_) => {
+                self.set_received();
+                true
+            }
+            ReceivedNow::Nothing => {
+                self.waiting_since = None;
+                false
+            }
+            ReceivedNow::Ended => false,
+        }
+    }
+
     /// Reads once, after the memory for the bytes has been reserved.
     async fn read(&mut self) -> Result<usize, ReadError> {
         let memory_bytes = self.reader.memory_bytes();
@@ -212,7 +250,8 @@
         if memory_bytes > SMALL_MESSAGE_BYTES {
             let memory = &self.frontend.budgets.memory;
             let lease = self.lease.get_or_insert_with(|| memory.lease(Work::IncompleteRequest));
-            lease.reserve(memory_bytes).await?;
+            let reserved = lease.reserve(memory_bytes);
+            watch(&self.stream, &self.frontend.lag, &mut self.waiting_since, reserved).await?;
         }
         let evicted = async {
             match &mut self.lease {
@@ -220,9 +259,11 @@
                 None => pending().await,
             }
         };
+        let input =
+            Input { stream: &self.stream, reader: &mut self.reader, waiting_since: &mut self.waiting_since };
         let read_bytes = tokio::select! {
             biased;
-            read = receive(&self.stream, &mut self.reader, &mut self.pacer, self.frontend) => read?,
+            read = input.receive(&mut self.pacer, self.frontend) => read?,
             () = evicted => return Err(MemoryExhausted.into()),
         };
         self.set_received();
@@ -232,7 +273,9 @@
     /// Waits for the first bytes of the next request and reads them. Returns the number of bytes, which is 0 once
     /// the client has ended its sending side. Cancel safe.
     pub(super) async fn read_first_bytes(&mut self) -> io::Result<usize> {
-        receive(&self.stream, &mut self.reader, &mut self.pacer, self.frontend).await
+        let input =
+            Input { stream: &self.stream, reader: &mut self.reader, waiting_since: &mut self.waiting_since };
+        input.receive(&mut self.pacer, self.frontend).await
     }
 
     /// Returns whether bytes of a request have arrived on a connection that is about to be closed as idle. After
@@ -244,20 +287,46 @@
     }
 }
 
-/// Reads from a client connection. Records that the connection rests if nothing has arrived. Cancel safe.
-async fn receive(
-    stream: &TcpStream, reader: &mut Reader<RequestLine>, pacer: &mut Pacer, frontend: &Frontend,
-) -> io::Result<usize> {
-    // Lets other tasks run even if the client sends without a pause.
-    consume_budget().await;
-    match sockets::read_now(stream, reader.buffer()) {
-        ReceivedNow::Bytes(read_bytes) => return Ok(read_bytes),
-        ReceivedNow::Ended => return Ok(0),
-        ReceivedNow::Nothing => {}
+/// The parts of a [`ClientInput`] that reading needs.
+struct Input<'a> {
+    stream: &'a TcpStream,
+    reader: &'a mut Reader<RequestLine>,
+    waiting_since: &'a mut Option<Instant>,
+}
+
+impl Input<'_> {
+    /// Reads from a client connection. If nothing has arrived, no bytes are waiting, and the connection rests until
+    /// the next ones arrive. Cancel safe.
+    async fn receive(self, pacer: &mut Pacer, frontend: &Frontend) -> io::Result<usize> {
+        // Lets other tasks run even if the client sends without a pause.
+        consume_budget().await;
+        match sockets::read_now(self.stream, self.reader.buffer()) {
+            ReceivedNow::Bytes(read_bytes) => return Ok(read_bytes),
+            ReceivedNow::Ended => return Ok(0),
+            ReceivedNow::Nothing => {}
+        }
+        *self.waiting_since = None;
+        let read = sockets::read(self.stream, self.reader.buffer()).await;
+        pacer.rest(frontend);
+        read
+    }
+}
+
+/// Waits for `result` and records in `waiting_since` when bytes arrive meanwhile, so that the time of a request counts
+/// from when its bytes could have been read. Cancel safe if the waiting for `result` is.
+pub(super) async fn watch<T>(
+    stream: &TcpStream, lag: &LoopLag, waiting_since: &mut Option<Instant>, result: impl Future<Output = T>,
+) -> T {
+    let mut result = pin!(result);
+    if waiting_since.is_none() {
+        tokio::select! {
+            biased;
+            result = &mut result => return result,
+            // A connection that is broken is readable as well.
+            _ = stream.readable() => *waiting_since = Some(lag.earliest_arrival()),
+        }
     }
-    let read = sockets::read(stream, reader.buffer()).await;
-    pacer.rest(frontend);
-    read
+    result.await
 }
 
 fn expects_continue(fields: &Fields) -> bool {
--- a/gateway/src/listener/pacing.rs
+++ b/gateway/src/listener/pacing.rs
@@ -41,6 +41,11 @@
         self.paused = Duration::ZERO;
     }
 
+    /// Returns whether the connection must pause before it does further work.
+    pub(super) fn must_pause(&self) -> bool {
+        self.resume_at.is_some()
+    }
+
     /// Waits until the connection may do further work. Cancel safe.
     pub(super) async fn pause(&mut self) {
         if let Some(resume_at) = self.resume_at {
--- a/gateway/src/listener/read_ahead.rs
+++ b/gateway/src/listener/read_ahead.rs
@@ -4,7 +4,7 @@
 //! behind them. The gateway reads all that has arrived. Complete requests wait in the connection's queue as long
 //! as the memory budget has room, and are skipped otherwise: their bodies are discarded, and each of them is
 //! rejected in its turn.
-use super::client::ClientInput;
+use super::client::{watch, ClientInput};
 use super::request_queue::InputEnd;
 use crate::memory::MemoryLease;
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
@@ -64,7 +64,7 @@
             match self.read_batch(&mut unkept) {
                 Batch::Drained => return true,
                 Batch::Disconnected => return false,
-                Batch::Full => sleep(BATCH_PAUSE).await,
+                Batch::Full => self.pause_between_batches().await,
             }
         }
     }
@@ -88,10 +88,14 @@
             if self.read_batch(&mut unkept) == Batch::Disconnected {
                 return;
             }
-            sleep(BATCH_PAUSE).await;
+            self.pause_between_batches().await;
         }
     }
 
+    async fn pause_between_batches(&mut self) {
+        watch(&self.stream, &self.frontend.lag, &mut self.waiting_since, sleep(BATCH_PAUSE)).await;
+    }
+
     /// Reads a batch of received bytes without waiting, and records whether more has arrived.
     fn read_batch(&mut self, unkept: &mut Unkept) -> Batch {
         let batch = self.read_up_to_batch(unkept);
@@ -111,8 +115,11 @@
             };
             let read_bytes = match received {
                 ReceivedNow::Bytes(read_bytes) => read_bytes,
-                ReceivedNow::Nothing if batch_bytes < MIN_WINDOW_BYTES => return Batch::Drained,
-                ReceivedNow::Nothing => return Batch::Full,
+                ReceivedNow::Nothing => {
+                    self.waiting_since = None;
+                    let may_receive_more = batch_bytes >= MIN_WINDOW_BYTES;
+                    return if may_receive_more { Batch::Full } else { Batch::Drained };
+                }
                 ReceivedNow::Ended => return Batch::Disconnected,
             };
             batch_bytes += read_bytes;
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -189,6 +189,7 @@
                     None => pending().await,
                 }
             };
+            let is_watched = self.input.waiting_since.is_none();
             tokio::select! {
                 biased;
                 written = self.frontend.lag.timeout_at(write_until, sockets::write_all(&self.input.stream, &mut bytes)) => {
@@ -203,6 +204,7 @@
                     return Err(io::ErrorKind::OutOfMemory.into());
                 }
                 () = evicted(&mut self.input.queue_lease) => self.input.skip_queued(),
+                _ = self.input.stream.readable(), if is_watched => self.input.set_waiting(),
             }
         }
     }
