Answer queued requests of an evicted connection, and serve those after skipped ones

Change: a connection with queued requests keeps the state of an open request and is not evicted; an evicted one rejects as many requests as it has read; a request of which nothing was discarded is no longer skipped once it is the next.

--- a/gateway/src/http1/reader.rs
+++ b/gateway/src/http1/reader.rs
@@ -160,6 +160,11 @@
         self.partial.is_none() && self.buffer.is_empty()
     }
 
+    /// Returns whether the head of the next message has been parsed.
+    pub fn is_in_body(&self) -> bool {
+        self.partial.is_some()
+    }
+
     /// Returns the fields of a message whose head has been parsed, if the buffer holds no bytes of the body.
     pub fn awaiting_body(&self) -> Option<&Fields> {
         self.partial.as_ref().filter(|_| self.buffer.is_empty()).map(|partial| &partial.message.fields)
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -137,6 +137,10 @@
             yield_now().await;
         }
         loop {
+            if self.queue.is_empty() && !self.reader.is_in_body() {
+                // No part of the request has been discarded, and it no longer waits behind others.
+                self.is_skipping = false;
+            }
             self.parse_received();
             if let Some(next) = self.take_queued() {
                 if self.queue_lease.is_some() || !self.is_idle() {
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -6,7 +6,6 @@
 use super::{ClientSlot, ConnectionGuard, Frontend, ShutdownPhase};
 use crate::budget::ConnectionState;
 use crate::closes::CloseReason;
-use crate::events::Response;
 use crate::response::LocalResponse;
 use crate::work_budget::ConnectionId;
 use std::io;
@@ -89,7 +88,9 @@
                     IdleEnd::Expired => return self.close_idle().await,
                 }
             }
-            self.slot.set_state(ConnectionState::Reading);
+            if !self.input.has_queued() {
+                self.slot.set_state(ConnectionState::Reading);
+            }
             let response = match self.read_request().await {
                 ReadOutcome::Request(request) => self.respond(request).await,
                 ReadOutcome::Skipped(count) => self.reject_skipped(count),
@@ -107,7 +108,10 @@
             if !keep_alive {
                 return self.linger_until_evicted().await;
             }
-            self.slot.set_state(ConnectionState::Idle);
+            // A connection with requests that have been read is not evicted.
+            if !self.input.has_queued() {
+                self.slot.set_state(ConnectionState::Idle);
+            }
         }
     }
 
@@ -147,10 +151,11 @@
     async fn read_request(&mut self) -> ReadOutcome {
         let begun_at = if self.has_begun_request { Instant::now() } else { self.accepted_at };
         self.has_begun_request = true;
+        let has_queued = self.input.has_queued();
         let read = tokio::select! {
             biased;
             read = self.frontend.lag.timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
-            () = self.slot.evicted() => return ReadOutcome::Evicted(CloseReason::Descriptor),
+            () = self.slot.evicted(), if !has_queued => return ReadOutcome::Evicted(CloseReason::Descriptor),
         };
         match read {
             Some(Ok(ReceivedRequest::Complete(request))) => ReadOutcome::Request(request),
@@ -197,9 +202,8 @@
     /// rest may have arrived by now.
     async fn close_evicted(mut self, reason: CloseReason) -> io::Result<()> {
         self.record_close(reason);
-        self.input.release();
-        let rejected = Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
-        let response = FinalResponse { response: rejected.encode(false), lease: None, keep_alive: false };
+        let unanswered_count = self.input.end_with_unanswered().max(1);
+        let response = self.reject(unanswered_count, false);
         self.write(response).await?;
         linger_evicted(self.frontend, &mut self.input.stream).await
     }
--- a/gateway/src/listener/read_ahead.rs
+++ b/gateway/src/listener/read_ahead.rs
@@ -10,7 +10,7 @@
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::sockets::{self, ReceivedNow};
 use crate::work_budget::READ_COST_US;
-use std::future::{pending, ready};
+use std::future::pending;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -70,20 +70,24 @@
     }
 
     /// Waits until the client disconnects, which means that it closes the connection or its sending side, or
-    /// sends more than [`MAX_SKIPPED_BYTES`] or [`MAX_SKIPPED_REQUESTS`] that cannot be kept, or more than [`MAX_DISCARDED_BYTES`] behind
-    /// its last request.
+    /// sends more than [`MAX_SKIPPED_BYTES`] or [`MAX_SKIPPED_REQUESTS`] that cannot be kept, or more than
+    /// [`MAX_DISCARDED_BYTES`] behind its last request.
     pub(super) async fn disconnected(&mut self) {
         let mut unkept = Unkept::default();
         loop {
+            let may_read = async {
+                if !self.unread_input.is_pending() {
+                    // A connection that is broken is readable as well.
+                    let _ = self.stream.readable().await;
+                }
+            };
             tokio::select! {
                 biased;
                 () = evicted(&mut self.queue_lease) => {
                     self.skip_queued();
                     continue;
                 }
-                // A connection that is broken is readable as well.
-                _ = self.stream.readable(), if !self.unread_input.is_pending() => {}
-                () = ready(()), if self.unread_input.is_pending() => {}
+                () = may_read => {}
             }
             if self.read_batch(&mut unkept) == Batch::Disconnected {
                 return;
@@ -98,13 +102,14 @@
 
     /// Reads a batch of received bytes without waiting, and records whether more has arrived.
     fn read_batch(&mut self, unkept: &mut Unkept) -> Batch {
-        let batch = self.read_up_to_batch(unkept);
+        let batch = self.read_until_drained(unkept);
         // After a disconnect, attempts wait until it has cancelled them.
         self.unread_input.set_pending(batch != Batch::Drained);
         batch
     }
 
-    fn read_up_to_batch(&mut self, unkept: &mut Unkept) -> Batch {
+    /// Reads until nothing is left to read or the batch is full.
+    fn read_until_drained(&mut self, unkept: &mut Unkept) -> Batch {
         let mut batch_bytes = 0;
         while batch_bytes < BATCH_BYTES {
             let has_ended = self.queue.end().is_some();
@@ -163,6 +168,8 @@
             return;
         }
         self.queue.skip_all();
+        // The reservation may have been evicted.
+        self.queue_lease = None;
         if !self.can_reserve_queue() {
             self.queue.set_end(InputEnd::Excess);
         }
@@ -192,6 +199,14 @@
         self.queue_lease = None;
         self.reserve_queue();
     }
+
+    /// Ends the input. Returns how many requests that have been read need a response, including an incomplete one.
+    pub(super) fn end_with_unanswered(&mut self) -> usize {
+        self.parse_received();
+        let unanswered_count = self.queue.request_count() + usize::from(!self.reader.is_idle());
+        self.release();
+        unanswered_count
+    }
 }
 
 /// Waits until the memory of the queued requests is needed for others.
--- a/gateway/src/listener/request_queue.rs
+++ b/gateway/src/listener/request_queue.rs
@@ -100,13 +100,19 @@
         self.end.get_or_insert(end);
     }
 
-    /// Skips all queued requests, which releases their memory.
-    pub(super) fn skip_all(&mut self) {
-        let count_of = |request: NextRequest| match request {
+    /// Returns the number of queued requests.
+    pub(super) fn request_count(&self) -> usize {
+        let count_of = |request: &NextRequest| match request {
             NextRequest::Complete(_) => 1,
-            NextRequest::Skipped(count) => count,
+            NextRequest::Skipped(count) => *count,
         };
-        let count: usize = std::mem::take(&mut self.requests).into_iter().map(count_of).sum();
+        self.requests.iter().map(count_of).sum()
+    }
+
+    /// Skips all queued requests, which releases their memory.
+    pub(super) fn skip_all(&mut self) {
+        let count = self.request_count();
+        self.requests = VecDeque::new();
         self.memory_bytes = 0;
         if count > 0 {
             self.requests.push_back(NextRequest::Skipped(count));
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -82,17 +82,22 @@
     /// Rejects `count` requests in a row that have been skipped.
     pub(super) fn reject_skipped(&mut self, count: usize) -> FinalResponse {
         self.slot.set_state(ConnectionState::Open);
-        let rejected = || Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
         let keep_alive = self.stays_open(true);
-        let earlier = rejected().encode(true);
-        let last = rejected().encode(keep_alive);
+        debug!(count, keep_alive, "rejecting skipped requests");
+        self.reject(count, keep_alive)
+    }
+
+    /// Returns the rejections of `count` requests in a row. `keep_alive` says whether the connection stays open
+    /// after the last one.
+    pub(super) fn reject(&self, count: usize, keep_alive: bool) -> FinalResponse {
+        let rejected = || Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
+        let (earlier, last) = (rejected().encode(true), rejected().encode(keep_alive));
         let mut bytes = BytesMut::with_capacity(count * (earlier.head.len() + earlier.body.len()));
         for _ in 1..count {
             bytes.extend_from_slice(&earlier.head);
             bytes.extend_from_slice(&earlier.body);
         }
         bytes.extend_from_slice(&last.head);
-        debug!(count, keep_alive, "rejecting skipped requests");
         let response = EncodedResponse { head: bytes.freeze(), body: last.body };
         FinalResponse { response, lease: None, keep_alive }
     }
--- a/gateway/tests/pipelining.rs
+++ b/gateway/tests/pipelining.rs
@@ -301,3 +301,61 @@
         assert!(response.keep_alive, "request {number} was complete and has not been evicted: {code}");
     }
 }
+
+// Guards against requests that are lost because their connection is evicted between two of them.
+#[tokio::test]
+async fn requests_sent_at_once_are_all_answered_while_other_connections_are_evicted() {
+    const COUNT: usize = 400;
+    let (gateway, mut server) = gateway_with_server(|config| config["limits"]["sockets"] = json!(64)).await;
+    let (read_half, mut writer) = gateway.client().await.stream.into_split();
+    let address = gateway.address;
+    let crowd = tokio::spawn(async move {
+        let mut others = std::collections::VecDeque::new();
+        loop {
+            let mut other =
+                Client { stream: tokio::net::TcpStream::connect(address).await.expect("it listens") };
+            // The gateway may have closed the connection already.
+            let _ = other.stream.write_all(b"GET /api HTTP/1.1\r\nX-Correlation-Id: half").await;
+            others.push_back(other);
+            if others.len() > 100 {
+                others.pop_front();
+            }
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    let requests: String =
+        (0..COUNT).map(|n| book_request(&format!("{n}"), &body_of(&format!("{n}"), 700))).collect();
+    writer.write_all(requests.as_bytes()).await.expect("the connection is open");
+    let mut responses = Responses::new(read_half);
+    for number in 0..COUNT {
+        let response = timeout(TEST_TIMEOUT, responses.next()).await.expect("the gateway responds");
+        let code = response.map(|response| response.start_line.code);
+        assert!(matches!(code, Some(200 | 503)), "response {number} is {code:?}");
+    }
+    crowd.abort();
+    assert!(check_bodies(&mut server, 700) <= COUNT);
+}
+
+// Guards against a connection whose requests are rejected for good once the memory has run out behind one of them.
+#[tokio::test]
+async fn a_request_that_comes_after_skipped_ones_have_been_rejected_is_served() {
+    let (gateway, _server) = gateway_with_server(|config| config["limits"]["memory_mb"] = json!(16)).await;
+    let (read_half, mut writer) = gateway.client().await.stream.into_split();
+    let mut responses = Responses::new(read_half);
+    let requests: String =
+        (0..60).map(|n| format!("{n}")).map(|id| book_request(&id, &body_of(&id, 60_000))).collect();
+    let writing = tokio::spawn(async move {
+        writer.write_all(requests.as_bytes()).await.expect("the connection is open");
+        writer
+    });
+    let mut rejected = 0;
+    for _ in 0..60 {
+        let response = timeout(TEST_TIMEOUT, responses.next()).await.expect("the gateway responds");
+        rejected += usize::from(response.expect("the connection is open").start_line.code == 503);
+    }
+    assert!(rejected > 0, "more was sent than the memory has room for");
+    let mut writer = writing.await.expect("the writing task does not panic");
+    writer.write_all(look_request("later").as_bytes()).await.expect("the connection is open");
+    let response = timeout(TEST_TIMEOUT, responses.next()).await.expect("the gateway responds");
+    assert_eq!(response.expect("the connection is open").start_line.code, 200);
+}
