Keep the layout of the fault control file, so that injected faults are counted

Cause: put the numbers of pending faults in the middle of the shim's Control, whose layout the soak reads by position. Faults were injected, and counted where nobody reads.

Change: the new field stands at the end, and the control file is as long as the struct.

Measured: the three tests of fault-tests/tests/soak.rs pass.

--- a/fault-tests/shim/faults.rs
+++ b/fault-tests/shim/faults.rs
@@ -104,10 +104,10 @@
     pub write_delay_ms: AtomicU32,
     /// Probability of each kind, as a fraction of [`ALWAYS`].
     pub rates: [AtomicU32; MAX_KINDS],
-    /// Number of the next calls into which a fault of each kind is injected whatever its probability.
-    pub pending: [AtomicU32; MAX_KINDS],
     /// Number of injected faults of each kind.
     pub injected: [AtomicU64; MAX_KINDS],
+    /// Number of the next calls into which a fault of each kind is injected whatever its probability.
+    pub pending: [AtomicU32; MAX_KINDS],
 }
 
 static CONTROL: AtomicPtr<Control> = AtomicPtr::new(null_mut());
--- a/fault-tests/src/soak/faults.rs
+++ b/fault-tests/src/soak/faults.rs
@@ -22,7 +22,7 @@
 /// Position of the numbers of injected faults of all kinds in the control file, in bytes.
 const INJECTED_POSITION_BYTES: u64 = RATES_POSITION_BYTES + 4 * MAX_KINDS as u64;
 /// Length of the control file, in bytes.
-const CONTROL_BYTES: u64 = INJECTED_POSITION_BYTES + 8 * MAX_KINDS as u64;
+const CONTROL_BYTES: u64 = INJECTED_POSITION_BYTES + (8 + 4) * MAX_KINDS as u64;
 /// Rate that injects a fault into every call; smaller rates are fractions of it.
 const ALWAYS_RATE: u32 = 1 << 16;
 /// Delay of a delayed write, in ms: the time that the protocol permits a gateway between reading its clock
