One descriptor guard for shared and spare connections, one wait for an eviction

Change: `Descriptor` holds a `Place` in the shared or the spare budget, `Descriptors::admit` tries both in their order, and `ClientSlot` is a struct. `memory::evicted` waits for the eviction of an optional lease. No behaviour changes.

--- a/gateway/src/descriptors.rs
+++ b/gateway/src/descriptors.rs
@@ -1,20 +1,27 @@
 //! The [`DescriptorBudget`] shared by the gateway's tasks, with the channels that notify evicted connections.
 use crate::budget::{ClientId, ConnectionState, DescriptorBudget, DescriptorGrant};
-use crate::spare_budget::{SpareBudget, SpareGrant, SpareId, SpareState};
+use crate::spare_budget::{SpareBudget, SpareGrant, SpareId};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+/// The budget that a client connection's descriptor belongs to, with the connection's number there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Place {
+    /// The descriptor belongs to the budget that client and upstream connections share.
+    Shared(ClientId),
+    /// The descriptor is one of the spare ones beyond that budget.
+    Spare(SpareId),
+}
+
 /// The state of [`Descriptors`] behind its lock.
 #[derive(Debug)]
 struct Inner {
     budget: DescriptorBudget,
-    /// The senders that notify admitted client connections of their eviction.
-    evictions: HashMap<ClientId, oneshot::Sender<()>>,
     spares: SpareBudget,
-    /// The senders that notify spare connections of their eviction.
-    spare_evictions: HashMap<SpareId, oneshot::Sender<()>>,
+    /// The senders that notify client connections of their eviction.
+    evictions: HashMap<Place, oneshot::Sender<()>>,
 }
 
 /// The descriptor budget, shared by the listener and the upstream connections.
@@ -24,17 +31,17 @@
     inner: Mutex<Inner>,
 }
 
-/// A client connection's descriptor in the budget, which is free again once this value is dropped.
+/// A client connection's descriptor, which is free again once this value is dropped.
 #[derive(Debug)]
 pub struct Descriptor {
     descriptors: Arc<Descriptors>,
-    id: ClientId,
+    place: Place,
 }
 
-/// A client connection that the budget has admitted.
+/// A client connection that has been admitted.
 #[derive(Debug)]
 pub struct AdmittedClient {
-    /// The connection's descriptor in the budget.
+    /// The connection's descriptor.
     pub descriptor: Descriptor,
     /// Completes when the connection is evicted.
     pub evicted: oneshot::Receiver<()>,
@@ -43,67 +50,40 @@
 }
 
 impl Descriptor {
+    /// Returns whether the connection is beyond the budget, so that its request is rejected.
+    pub fn is_spare(&self) -> bool {
+        matches!(self.place, Place::Spare(_))
+    }
+
     /// Records that the connection has entered `state`, and evicts idle connections beyond their share of the
     /// budget.
     pub fn set_state(&self, state: ConnectionState) {
         let now_ms = self.descriptors.now_ms();
         let mut inner = self.descriptors.lock();
-        inner.budget.set_state(self.id, state, now_ms);
+        match self.place {
+            Place::Shared(id) => inner.budget.set_state(id, state, now_ms),
+            Place::Spare(id) => return inner.spares.set_state(id, state.into(), now_ms),
+        }
         while let Some(surplus) = inner.budget.evict_surplus_idle(now_ms) {
-            inner.evict(surplus);
+            inner.evict(Place::Shared(surplus));
         }
     }
 
     /// Returns whether the connection has been evicted.
     pub fn is_evicted(&self) -> bool {
-        !self.descriptors.lock().evictions.contains_key(&self.id)
+        !self.descriptors.lock().evictions.contains_key(&self.place)
     }
 }
 
 impl Drop for Descriptor {
     fn drop(&mut self) {
         let mut inner = self.descriptors.lock();
-        inner.budget.remove(self.id);
-        inner.evictions.remove(&self.id);
-    }
-}
-
-/// A spare connection's place, which is free again once this value is dropped.
-#[derive(Debug)]
-pub struct SpareDescriptor {
-    descriptors: Arc<Descriptors>,
-    id: SpareId,
-}
-
-/// A client connection beyond the budget, whose request is rejected.
-#[derive(Debug)]
-pub struct SpareClient {
-    /// The connection's place among the spare connections.
-    pub descriptor: SpareDescriptor,
-    /// Completes when the connection is evicted.
-    pub evicted: oneshot::Receiver<()>,
-    /// Whether another connection was evicted for this one and is still being closed.
-    pub has_evicted: bool,
-}
-
-impl SpareDescriptor {
-    /// Records that the connection has entered `state`.
-    pub fn set_state(&self, state: SpareState) {
-        let now_ms = self.descriptors.now_ms();
-        self.descriptors.lock().spares.set_state(self.id, state, now_ms);
-    }
-
-    /// Returns whether the connection has been evicted.
-    pub fn is_evicted(&self) -> bool {
-        !self.descriptors.lock().spare_evictions.contains_key(&self.id)
-    }
-}
-
-impl Drop for SpareDescriptor {
-    fn drop(&mut self) {
-        let mut inner = self.descriptors.lock();
-        inner.spares.remove(self.id);
-        inner.spare_evictions.remove(&self.id);
+        match self.place {
+            // An evicted connection has been removed before.
+            Place::Shared(id) => drop(inner.budget.remove(id)),
+            Place::Spare(id) => inner.spares.remove(id),
+        }
+        inner.evictions.remove(&self.place);
     }
 }
 
@@ -119,9 +99,8 @@
     pub fn with_spares(descriptor_count: usize, spare_count: usize) -> Arc<Self> {
         let inner = Inner {
             budget: DescriptorBudget::new(descriptor_count),
-            evictions: HashMap::new(),
             spares: SpareBudget::new(spare_count),
-            spare_evictions: HashMap::new(),
+            evictions: HashMap::new(),
         };
         Arc::new(Descriptors { start: Instant::now(), inner: Mutex::new(inner) })
     }
@@ -134,21 +113,19 @@
         self.start.elapsed().as_secs_f64() * 1000.0
     }
 
-    /// Admits a client connection. Returns `None` if no descriptor is free and no connection can be evicted.
+    /// Admits a client connection, within the budget or else as a spare one. Returns `None` if no descriptor is free
+    /// and no connection can be evicted.
     pub fn admit(self: &Arc<Self>) -> Option<AdmittedClient> {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
-        let (id, evicted) = match inner.budget.admit(now_ms) {
-            DescriptorGrant::Admitted(id) => (id, None),
-            DescriptorGrant::Evicting { admitted, evicted } => (admitted, Some(evicted)),
-            DescriptorGrant::Full => return None,
-        };
-        evicted.into_iter().for_each(|evicted| inner.evict(evicted));
-        let has_evicted = evicted.is_some();
+        let (place, evicted_place) = inner.admit(now_ms)?;
+        if let Some(evicted_place) = evicted_place {
+            inner.evict(evicted_place);
+        }
         let (evict, evicted) = oneshot::channel();
-        inner.evictions.insert(id, evict);
-        let descriptor = Descriptor { descriptors: self.clone(), id };
-        Some(AdmittedClient { descriptor, evicted, has_evicted })
+        inner.evictions.insert(place, evict);
+        let descriptor = Descriptor { descriptors: self.clone(), place };
+        Some(AdmittedClient { descriptor, evicted, has_evicted: evicted_place.is_some() })
     }
 
     /// Returns whether a client connection would be admitted now, within the budget or as a spare one.
@@ -158,32 +135,12 @@
         inner.budget.has_room_for_client(now_ms) || inner.spares.has_room(now_ms)
     }
 
-    /// Admits a spare connection. Returns `None` if none is free and none can be evicted yet.
-    pub fn admit_spare(self: &Arc<Self>) -> Option<SpareClient> {
-        let now_ms = self.now_ms();
-        let mut inner = self.lock();
-        let (id, evicted) = match inner.spares.admit(now_ms) {
-            SpareGrant::Admitted(id) => (id, None),
-            SpareGrant::Evicting { admitted, evicted } => (admitted, Some(evicted)),
-            SpareGrant::Full => return None,
-        };
-        let has_evicted = evicted.is_some();
-        if let Some(evict) = evicted.and_then(|evicted| inner.spare_evictions.remove(&evicted)) {
-            // The receiver has been dropped if the connection is already closing.
-            let _ = evict.send(());
-        }
-        let (evict, evicted) = oneshot::channel();
-        inner.spare_evictions.insert(id, evict);
-        let descriptor = SpareDescriptor { descriptors: self.clone(), id };
-        Some(SpareClient { descriptor, evicted, has_evicted })
-    }
-
     /// Evicts a silent, slow or idle client connection, if there is one.
     pub fn make_room(&self) {
         let now_ms = self.now_ms();
         let mut inner = self.lock();
         if let Some(evicted) = inner.budget.make_room(now_ms) {
-            inner.evict(evicted);
+            inner.evict(Place::Shared(evicted));
         }
     }
 
@@ -197,7 +154,7 @@
             return true;
         }
         let Some(evicted) = inner.budget.make_room(now_ms) else { return false };
-        inner.evict(evicted);
+        inner.evict(Place::Shared(evicted));
         inner.budget.open_upstream()
     }
 
@@ -218,8 +175,26 @@
 }
 
 impl Inner {
-    fn evict(&mut self, client: ClientId) {
-        if let Some(evict) = self.evictions.remove(&client) {
+    /// Admits a connection. Returns its place, and the place of a connection that must be evicted for it.
+    fn admit(&mut self, now_ms: f64) -> Option<(Place, Option<Place>)> {
+        match self.budget.admit(now_ms) {
+            DescriptorGrant::Admitted(id) => return Some((Place::Shared(id), None)),
+            DescriptorGrant::Evicting { admitted, evicted } => {
+                return Some((Place::Shared(admitted), Some(Place::Shared(evicted))));
+            }
+            DescriptorGrant::Full => {}
+        }
+        match self.spares.admit(now_ms) {
+            SpareGrant::Admitted(id) => Some((Place::Spare(id), None)),
+            SpareGrant::Evicting { admitted, evicted } => {
+                Some((Place::Spare(admitted), Some(Place::Spare(evicted))))
+            }
+            SpareGrant::Full => None,
+        }
+    }
+
+    fn evict(&mut self, place: Place) {
+        if let Some(evict) = self.evictions.remove(&place) {
             // The receiver has been dropped if the connection is already closing.
             let _ = evict.send(());
         }
--- a/gateway/src/listener/accept.rs
+++ b/gateway/src/listener/accept.rs
@@ -1,7 +1,7 @@
 //! The accept loop, and the accepts at the end of a graceful shutdown.
 use super::connection::ClientConnection;
 use super::{ClientSlot, ConnectionGuard, Frontend, ShutdownPhase};
-use crate::descriptors::{AdmittedClient, SpareClient};
+use crate::descriptors::AdmittedClient;
 use crate::sockets::{is_connection_error, lacks_descriptors, with_nodelay};
 use std::io;
 use std::sync::Arc;
@@ -147,19 +147,13 @@
     /// one and is still being closed.
     fn admit(self: &Arc<Self>, accepted: AcceptedConnection) -> bool {
         let AcceptedConnection { stream, arrived_at } = accepted;
-        let descriptors = &self.budgets.descriptors;
-        let admitted = descriptors.admit().map(|AdmittedClient { descriptor, evicted, has_evicted }| {
-            (ClientSlot::Admitted { descriptor, evicted }, has_evicted)
-        });
-        let slot = admitted.or_else(|| {
-            let SpareClient { descriptor, evicted, has_evicted } = descriptors.admit_spare()?;
-            Some((ClientSlot::Spare { descriptor, evicted }, has_evicted))
-        });
-        let Some((slot, has_evicted)) = slot else {
+        let Some(AdmittedClient { descriptor, evicted, has_evicted }) = self.budgets.descriptors.admit()
+        else {
             // Every caller has checked that there is room, without a pause since then.
             warn!("no descriptor for a client; closing its connection");
             return false;
         };
+        let slot = ClientSlot { descriptor, evicted };
         // The connection is counted before its task first runs, so that a shutdown waits for the connection.
         let guard = ConnectionGuard::new(self.clone());
         tokio::spawn(async move {
--- a/gateway/src/listener/client.rs
+++ b/gateway/src/listener/client.rs
@@ -5,12 +5,12 @@
 use crate::events::UnreadInput;
 use crate::http1::{CompleteMessage, Fields, ParseError, Reader, RequestLine, MAX_BODY_BYTES};
 use crate::loop_lag::LoopLag;
-use crate::memory::{MemoryExhausted, MemoryLease};
+use crate::memory::{evicted, MemoryExhausted, MemoryLease};
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::protocol::CONTINUE;
 use crate::sockets::{self, ReceivedNow};
 use crate::work_budget::{READ_COST_US, REQUEST_COST_US, SKIPPED_REQUEST_COST_US};
-use std::future::{pending, Future};
+use std::future::Future;
 use std::io;
 use std::pin::pin;
 use thiserror::Error;
@@ -257,18 +257,12 @@
             let reserved = lease.reserve(memory_bytes);
             watch(&self.stream, &self.frontend.lag, &mut self.waiting_since, reserved).await?;
         }
-        let evicted = async {
-            match &mut self.lease {
-                Some(lease) => lease.evicted().await,
-                None => pending().await,
-            }
-        };
         let input =
             Input { stream: &self.stream, reader: &mut self.reader, waiting_since: &mut self.waiting_since };
         let read_bytes = tokio::select! {
             biased;
             read = input.receive(&mut self.pacer, self.frontend) => read?,
-            () = evicted => return Err(MemoryExhausted.into()),
+            () = evicted(&mut self.lease) => return Err(MemoryExhausted.into()),
         };
         self.set_received();
         Ok(read_bytes)
--- a/gateway/src/listener/connection.rs
+++ b/gateway/src/listener/connection.rs
@@ -89,7 +89,7 @@
                 }
             }
             if !self.input.has_queued() {
-                self.slot.set_state(ConnectionState::Reading);
+                self.slot.descriptor.set_state(ConnectionState::Reading);
             }
             let response = match self.read_request().await {
                 ReadOutcome::Request(request) => self.respond(request).await,
@@ -110,7 +110,7 @@
             }
             // A connection with requests that have been read is not evicted.
             if !self.input.has_queued() {
-                self.slot.set_state(ConnectionState::Idle);
+                self.slot.descriptor.set_state(ConnectionState::Idle);
             }
         }
     }
@@ -152,9 +152,10 @@
         let begun_at = if self.has_begun_request { Instant::now() } else { self.accepted_at };
         self.has_begun_request = true;
         let has_queued = self.input.has_queued();
+        let read_until = begun_at + REQUEST_READ_TIMEOUT;
         let read = tokio::select! {
             biased;
-            read = self.frontend.lag.timeout_at(begun_at + REQUEST_READ_TIMEOUT, self.input.next_request()) => read,
+            read = self.frontend.lag.timeout_at(read_until, self.input.next_request()) => read,
             () = self.slot.evicted(), if !has_queued => return ReadOutcome::Evicted(CloseReason::Descriptor),
         };
         match read {
@@ -174,7 +175,7 @@
     /// Lingers after the last response, until the descriptor is needed for another connection.
     async fn linger_until_evicted(mut self) -> io::Result<()> {
         self.input.release();
-        self.slot.set_state(ConnectionState::Lingering);
+        self.slot.descriptor.set_state(ConnectionState::Lingering);
         tokio::select! {
             biased;
             lingered = linger(&self.frontend.lag, &mut self.input.stream) => lingered,
@@ -185,7 +186,7 @@
     /// Closes an idle connection. The connection lingers, because otherwise a request that the client sends
     /// at the same time would be answered by a TCP reset.
     async fn close_idle(mut self) -> io::Result<()> {
-        let is_evicted = self.slot.is_evicted();
+        let is_evicted = self.slot.descriptor.is_evicted();
         if is_evicted && self.input.has_received_request().await {
             return self.close_evicted(CloseReason::Descriptor).await;
         }
--- a/gateway/src/listener/mod.rs
+++ b/gateway/src/listener/mod.rs
@@ -11,14 +11,12 @@
 mod request_queue;
 mod responding;
 
-use crate::budget::ConnectionState;
 use crate::budgets::Budgets;
 use crate::closes::CloseCounters;
 use crate::correlation_ids::SharedCorrelationIds;
-use crate::descriptors::{Descriptor, SpareDescriptor};
+use crate::descriptors::Descriptor;
 use crate::events::EventSender;
 use crate::loop_lag::LoopLag;
-use crate::spare_budget::SpareState;
 use crate::work_budget::ConnectionId;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -90,50 +88,17 @@
 }
 
 /// The descriptor that a client connection holds while it is served.
-enum ClientSlot {
-    /// The connection holds a descriptor of the budget.
-    Admitted {
-        descriptor: Descriptor,
-        /// Completes when the connection is evicted.
-        evicted: oneshot::Receiver<()>,
-    },
-    /// The connection holds a descriptor beyond the budget, and its request is rejected.
-    Spare {
-        descriptor: SpareDescriptor,
-        /// Completes when the connection is evicted.
-        evicted: oneshot::Receiver<()>,
-    },
+struct ClientSlot {
+    descriptor: Descriptor,
+    /// Completes when the connection is evicted.
+    evicted: oneshot::Receiver<()>,
 }
 
 impl ClientSlot {
-    fn is_spare(&self) -> bool {
-        matches!(self, ClientSlot::Spare { .. })
-    }
-
-    fn is_evicted(&self) -> bool {
-        match self {
-            ClientSlot::Admitted { descriptor, .. } => descriptor.is_evicted(),
-            ClientSlot::Spare { descriptor, .. } => descriptor.is_evicted(),
-        }
-    }
-
-    fn set_state(&self, state: ConnectionState) {
-        match self {
-            ClientSlot::Admitted { descriptor, .. } => descriptor.set_state(state),
-            ClientSlot::Spare { descriptor, .. } => descriptor.set_state(match state {
-                ConnectionState::New | ConnectionState::Reading => SpareState::Incomplete,
-                ConnectionState::Open => SpareState::Responding,
-                ConnectionState::Idle | ConnectionState::Lingering => SpareState::Lingering,
-            }),
-        }
-    }
-
     /// Waits until the connection is evicted.
     async fn evicted(&mut self) {
-        match self {
-            // The result does not matter: the sender is dropped without a message only after the descriptor.
-            ClientSlot::Admitted { evicted, .. } | ClientSlot::Spare { evicted, .. } => drop(evicted.await),
-        }
+        // The result does not matter: the sender is dropped without a message only after the descriptor.
+        let _ = (&mut self.evicted).await;
     }
 }
 
--- a/gateway/src/listener/read_ahead.rs
+++ b/gateway/src/listener/read_ahead.rs
@@ -6,11 +6,10 @@
 //! rejected in its turn.
 use super::client::{watch, ClientInput};
 use super::request_queue::InputEnd;
-use crate::memory::MemoryLease;
+use crate::memory::evicted;
 use crate::memory_budget::{Work, SMALL_MESSAGE_BYTES};
 use crate::sockets::{self, ReceivedNow};
 use crate::work_budget::READ_COST_US;
-use std::future::pending;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -208,11 +207,3 @@
         unanswered_count
     }
 }
-
-/// Waits until the memory of the queued requests is needed for others.
-pub(super) async fn evicted(queue_lease: &mut Option<MemoryLease>) {
-    match queue_lease {
-        Some(lease) => lease.evicted().await,
-        None => pending().await,
-    }
-}
--- a/gateway/src/listener/responding.rs
+++ b/gateway/src/listener/responding.rs
@@ -1,7 +1,6 @@
 //! The response of a client connection to one request: from the listener itself or from the event loop.
 use super::client::ArrivedRequest;
 use super::connection::ClientConnection;
-use super::read_ahead::evicted;
 use super::request::InvalidRequest;
 use super::request_queue::InputEnd;
 use super::ShutdownPhase;
@@ -9,13 +8,12 @@
 use crate::closes::CloseReason;
 use crate::events::{GatewayEvent, Response};
 use crate::http1::{CompleteMessage, RequestLine};
-use crate::memory::MemoryLease;
+use crate::memory::{evicted, MemoryLease};
 use crate::memory_budget::Work;
 use crate::protocol::{API_PATH, READINESS_PATH};
 use crate::response::{EncodedResponse, LocalResponse};
 use crate::sockets;
 use bytes::{Buf, BytesMut};
-use std::future::pending;
 use std::io;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -55,7 +53,7 @@
 impl ClientConnection<'_> {
     /// Handles a request, and decides whether the connection stays open after the response.
     pub(super) async fn respond(&mut self, request: ArrivedRequest) -> FinalResponse {
-        self.slot.set_state(ConnectionState::Open);
+        self.slot.descriptor.set_state(ConnectionState::Open);
         let client_keeps_alive = request.message.keep_alive;
         let RequestResult { response, client_disconnected } = self.handle_request(request).await;
         let is_invalid =
@@ -81,7 +79,7 @@
 
     /// Rejects `count` requests in a row that have been skipped.
     pub(super) fn reject_skipped(&mut self, count: usize) -> FinalResponse {
-        self.slot.set_state(ConnectionState::Open);
+        self.slot.descriptor.set_state(ConnectionState::Open);
         let keep_alive = self.stays_open(true);
         debug!(count, keep_alive, "rejecting skipped requests");
         self.reject(count, keep_alive)
@@ -105,8 +103,8 @@
     /// Returns whether the connection stays open after the next response. A connection that must close still
     /// responds to everything that has been read.
     fn stays_open(&self, may_read_on: bool) -> bool {
-        let is_spare = self.slot.is_spare();
-        let is_evicted = self.slot.is_evicted();
+        let is_spare = self.slot.descriptor.is_spare();
+        let is_evicted = self.slot.descriptor.is_evicted();
         let phase = self.frontend.phase();
         let must_close = is_spare || is_evicted || phase != ShutdownPhase::Serving;
         let end = self.input.queue.end();
@@ -133,7 +131,7 @@
             Err(invalid) => return invalid.into(),
         };
         let rejected = Response::Rejected { retry_after_ms: self.frontend.max_retry_after_ms };
-        if self.slot.is_spare() || self.frontend.phase() == ShutdownPhase::Rejecting {
+        if self.slot.descriptor.is_spare() || self.frontend.phase() == ShutdownPhase::Rejecting {
             return Ok(rejected).into();
         }
         let id = request.id;
@@ -188,19 +186,14 @@
         }
         let write_until = Instant::now() + RESPONSE_WRITE_TIMEOUT;
         loop {
-            let response_evicted = async {
-                match &mut lease {
-                    Some(lease) => lease.evicted().await,
-                    None => pending().await,
-                }
-            };
             let is_watched = self.input.waiting_since.is_none();
+            let writing = sockets::write_all(&self.input.stream, &mut bytes);
             tokio::select! {
                 biased;
-                written = self.frontend.lag.timeout_at(write_until, sockets::write_all(&self.input.stream, &mut bytes)) => {
+                written = self.frontend.lag.timeout_at(write_until, writing) => {
                     return written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()));
                 }
-                () = response_evicted => {
+                () = evicted(&mut lease) => {
                     self.frontend.closes.record(
                         CloseReason::MemoryForResponse,
                         self.connection_id,
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -2,6 +2,7 @@
 //! holders.
 use crate::memory_budget::{HolderId, MemoryBudget, Reservation, Work};
 use std::collections::HashMap;
+use std::future::pending;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
@@ -182,6 +183,14 @@
     }
 }
 
+/// Waits until the holder of `lease` is evicted; for ever without a lease. Cancel safe.
+pub async fn evicted(lease: &mut Option<MemoryLease>) {
+    match lease {
+        Some(lease) => lease.evicted().await,
+        None => pending().await,
+    }
+}
+
 /// A waiting reservation, which is withdrawn once this value is dropped.
 struct WaitingGuard<'a> {
     memory: &'a Memory,
--- a/gateway/src/spare_budget.rs
+++ b/gateway/src/spare_budget.rs
@@ -3,7 +3,7 @@
 //! This module does no I/O and has no clock or threads. A spare connection is needed only until its request is
 //! complete and has been rejected. A client that sends nothing or only a part of a request would keep others
 //! from being accepted, so that its connection is evicted as soon as another client waits.
-use crate::budget::{MIN_INCOMPLETE_MS, MIN_LINGERING_MS};
+use crate::budget::{ConnectionState, MIN_INCOMPLETE_MS, MIN_LINGERING_MS};
 use std::collections::BTreeMap;
 
 /// The number of a spare connection, assigned by [`SpareBudget::admit`].
@@ -20,6 +20,16 @@
     Lingering,
 }
 
+impl From<ConnectionState> for SpareState {
+    fn from(state: ConnectionState) -> Self {
+        match state {
+            ConnectionState::New | ConnectionState::Reading => SpareState::Incomplete,
+            ConnectionState::Open => SpareState::Responding,
+            ConnectionState::Idle | ConnectionState::Lingering => SpareState::Lingering,
+        }
+    }
+}
+
 /// The decision on a new spare connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SpareGrant {
