--- a/balancer/src/action.rs
+++ b/balancer/src/action.rs
@@ -17,6 +17,8 @@
     TooLate,
     /// The request's attempts have failed, and no retry is possible.
     AttemptsFailed,
+    /// The endpoint list is stale, so that no attempt may be sent until discovery responds.
+    StaleEndpointList,
 }
 
 /// An action for the gateway to carry out.
--- a/balancer/src/balancer.rs
+++ b/balancer/src/balancer.rs
@@ -10,12 +10,13 @@
 use crate::action::Action;
 use crate::client_timeouts::ClientTimeouts;
 use crate::discovery::Discovery;
-use crate::event::Event;
+use crate::event::{DiscoveryReport, Event};
 use crate::failure_ratios::FailureRatios;
 use crate::fleet::Fleet;
 use crate::health_checks::HealthChecks;
 use crate::ids::{EndpointId, RequestId};
 use crate::latency_estimates::LatencyEstimates;
+use crate::list_staleness::{ListStaleness, StalenessChange};
 use crate::outlier_ejection::OutlierEjection;
 use crate::pending_queue::PendingQueue;
 use crate::rate_limiter::RateLimiter;
@@ -45,6 +46,7 @@
     retry_budget: TokenBudget,
     health_checks: HealthChecks,
     discovery: Discovery,
+    list_staleness: ListStaleness,
     requests: BTreeMap<RequestId, Request>,
     pending: PendingQueue,
     rejections: RejectionLog,
@@ -74,6 +76,7 @@
             retry_budget: retry::retry_budget(),
             health_checks: HealthChecks::new(&settings),
             discovery: Discovery::new(&settings),
+            list_staleness: ListStaleness::new(&settings),
             requests: BTreeMap::new(),
             pending: PendingQueue::default(),
             rejections: RejectionLog::default(),
@@ -88,6 +91,12 @@
         self.fleet.endpoints.contains(endpoint)
     }
 
+    /// Returns the time from which no attempt may begin unless discovery responds before, in ms; `None` if
+    /// the endpoint list does not become stale.
+    pub fn list_stale_at_ms(&self) -> Option<f64> {
+        self.list_staleness.stale_at_ms()
+    }
+
     /// Handles one event that occurred at `now_ms` on the gateway's clock, and appends the actions to carry
     /// out to `actions`.
     pub fn handle(&mut self, now_ms: f64, event: Event, actions: &mut Vec<Action>) {
@@ -95,6 +104,7 @@
             Event::EndpointUpdate { kind, endpoints } => {
                 self.on_endpoint_update(now_ms, kind, endpoints, actions);
             }
+            Event::Discovery(report) => self.on_discovery_report(now_ms, report, actions),
             Event::Request(arrival) => self.on_request(now_ms, &arrival, actions),
             // The request stays open until the end of the attempt completes it.
             Event::ResponseStarted { .. } => {}
@@ -108,6 +118,7 @@
             Event::HealthCheckEnd { endpoint, report, .. } => self.fleet.apply_report(endpoint, report),
             Event::Timer { .. } => self.on_timer(now_ms, actions),
         }
+        self.log_staleness(now_ms, actions);
         self.log_rejections(now_ms, actions);
         self.schedule_wake_up(now_ms, actions);
     }
@@ -118,22 +129,49 @@
         if self.discovery.take_due(now_ms) {
             actions.push(Action::WatchEndpoints);
         }
+        if self.list_staleness.is_stale(now_ms) {
+            return;
+        }
         for endpoint in self.health_checks.due(now_ms, &mut self.fleet.endpoints) {
             actions.push(Action::HealthCheck { endpoint });
         }
     }
 
+    /// Records the report, and sends pending requests if it makes the endpoint list fresh.
+    fn on_discovery_report(&mut self, now_ms: f64, report: DiscoveryReport, actions: &mut Vec<Action>) {
+        let was_stale = self.list_staleness.is_stale(now_ms);
+        self.list_staleness.on_report(report);
+        if was_stale {
+            self.drain_pending(now_ms, actions);
+        }
+    }
+
     fn schedule_wake_up(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
         let reasons = WakeReasons {
             has_pending: !self.pending.is_empty(),
             has_health_checks: self.health_checks.enabled(),
             discovery_due_at_ms: self.discovery.due_at_ms(),
+            list_stale_at_ms: self.list_staleness.wake_at_ms(now_ms),
         };
         if let Some(at_ms) = self.wake_up.schedule(now_ms, &reasons) {
             actions.push(Action::Timer { at_ms, token: 0 });
         }
     }
 
+    fn log_staleness(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
+        let line = match self.list_staleness.take_change(now_ms) {
+            None => return,
+            Some(StalenessChange::BecameStale) => {
+                "endpoint list stale: not confirmed by discovery in time; no attempts until it responds"
+                    .to_string()
+            }
+            Some(StalenessChange::BecameFresh { after_ms }) => {
+                format!("endpoint list fresh: confirmed by discovery; was stale for {after_ms:.0} ms")
+            }
+        };
+        actions.push(Action::Log(line));
+    }
+
     fn log_rejections(&mut self, now_ms: f64, actions: &mut Vec<Action>) {
         if !self.rejections.is_due(now_ms) {
             return;
--- a/balancer/src/balancer/endpoints.rs
+++ b/balancer/src/balancer/endpoints.rs
@@ -37,6 +37,9 @@
             return;
         }
         let is_cached = kind == UpdateKind::Cached;
+        if is_cached {
+            self.list_staleness.on_cached_list(now_ms);
+        }
         if is_cached && self.discovery.on_cached_list(now_ms, &mut self.rng) {
             actions.push(Action::WatchEndpoints);
         }
--- a/balancer/src/balancer/requests.rs
+++ b/balancer/src/balancer/requests.rs
@@ -19,6 +19,17 @@
 /// The balancer wakes less often where the tick is longer: every `max(WAKE_INTERVAL_MS, tick_ms)`.
 const MIN_PENDING_WAKE_UPS: f64 = 2.0;
 
+/// Longest time for which a request waits for a fresh endpoint list, in ms.
+const MAX_HOLD_MS: f64 = 500.0;
+
+/// Longest time for which a request waits for a fresh endpoint list, as a fraction of the client's timeout. A
+/// rejection after half of the timeout would cost more than an early one.
+const MAX_HOLD_RATIO: f64 = 0.3;
+
+/// Largest number of requests that wait for a fresh endpoint list, so that they don't form a burst once the
+/// list is fresh.
+const MAX_HELD_REQUESTS: usize = 64;
+
 /// The reason for a rejection, and when the client should retry.
 struct Rejection {
     reason: RejectionReason,
@@ -43,9 +54,12 @@
 
         self.retry_budget.deposit();
         self.health_checks.deposit();
-        if let Some(rejection) = self.check_admission(now_ms, arrival, saturation, deadlines.misses_objective)
-        {
-            return self.reject(arrival.request, rejection, actions);
+        // Without attempts, saturation and latencies say nothing about the request.
+        if !self.list_staleness.is_stale(now_ms) {
+            let rejection = self.check_admission(now_ms, arrival, saturation, deadlines.misses_objective);
+            if let Some(rejection) = rejection {
+                return self.reject(arrival.request, rejection, actions);
+            }
         }
 
         let request = Request {
@@ -53,6 +67,7 @@
             tenant: arrival.tenant,
             useful_until_ms: deadlines.useful_until_ms,
             give_up_at_ms: deadlines.give_up_at_ms,
+            hold_until_ms: now_ms + MAX_HOLD_MS.min(MAX_HOLD_RATIO * timeout_ms),
             attempts: Vec::new(),
         };
         self.requests.insert(arrival.request, request);
@@ -114,11 +129,12 @@
         limit
     }
 
-    /// Sends the next attempt of a request if an endpoint can take the attempt. Returns whether an attempt
-    /// was sent; also true if the request is no longer open.
+    /// Sends the next attempt of a request if the endpoint list is fresh and an endpoint can take the
+    /// attempt. Returns whether an attempt was sent; also true if the request is no longer open.
     fn dispatch(&mut self, now_ms: f64, id: RequestId, actions: &mut Vec<Action>) -> bool {
         let Some(mut request) = self.requests.remove(&id) else { return true };
-        let picked = self.pick_endpoint(now_ms, &request);
+        let is_stale = self.list_staleness.is_stale(now_ms);
+        let picked = if is_stale { None } else { self.pick_endpoint(now_ms, &request) };
         if let Some(endpoint) = picked {
             self.record_attempt(now_ms, &mut request, endpoint);
             let give_up_at_ms = request.give_up_at_ms;
@@ -156,14 +172,19 @@
         });
     }
 
-    /// Enqueues a request until an endpoint has capacity. Ends the request at once if a response could no
-    /// longer be useful by then, because the client may disconnect before the next wake-up.
+    /// Enqueues a request until an endpoint has capacity and the endpoint list is fresh. Ends the request at
+    /// once if a response could no longer be useful by then, because the client may disconnect before the
+    /// next wake-up, or if the request may not wait for a fresh list any longer.
     fn enqueue(&mut self, now_ms: f64, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let typical_ms = self.latencies.typical_ms(request.class);
         let cannot_be_useful =
             now_ms + typical_ms.max(MIN_PENDING_WAKE_UPS * WAKE_INTERVAL_MS) > request.useful_until_ms;
-        if cannot_be_useful || !self.may_retry(now_ms, request) {
+        let is_stale = self.list_staleness.is_stale(now_ms);
+        let may_hold = now_ms < request.hold_until_ms && self.pending.len() < MAX_HELD_REQUESTS;
+        if is_stale && (cannot_be_useful || !may_hold) {
+            self.end(id, RejectionReason::StaleEndpointList, actions);
+        } else if cannot_be_useful || !self.may_retry(now_ms, request) {
             self.end(id, RejectionReason::NoCapacity, actions);
         } else {
             self.pending.push(id);
--- a/balancer/src/event.rs
+++ b/balancer/src/event.rs
@@ -125,6 +125,27 @@
     pub report: LoadReport,
 }
 
+/// What the gateway has learned about the age of the endpoint list. An update of the list alone says nothing
+/// about its age.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DiscoveryReport {
+    /// Discovery has answered a poll, with or without changes; the changes have been applied.
+    Confirmed {
+        /// Time as of which the answer reports all changes, in ms.
+        as_of_ms: f64,
+    },
+    /// Discovery has left a poll unanswered, or cannot be connected to.
+    OutOfReach {
+        /// Time since which discovery has reported nothing that this gateway does not have, in ms.
+        as_of_ms: f64,
+    },
+    /// The gateway now polls another instance of discovery, whose list may differ.
+    Moved {
+        /// Time of the move, in ms.
+        at_ms: f64,
+    },
+}
+
 /// An event that the gateway has observed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -135,6 +156,8 @@
         /// Entries of the update; empty if the watch was lost.
         endpoints: Vec<EndpointRecord>,
     },
+    /// The gateway has learned something about the age of the endpoint list.
+    Discovery(DiscoveryReport),
     /// A request has arrived.
     Request(Arrival),
     /// The response of a request of a streamed class has started, and the gateway forwards the response to
--- a/balancer/src/lib.rs
+++ b/balancer/src/lib.rs
@@ -27,6 +27,7 @@
 mod health_checks;
 mod ids;
 mod latency_estimates;
+mod list_staleness;
 mod load;
 mod outlier_ejection;
 mod pending_queue;
@@ -50,7 +51,9 @@
 
 pub use action::{Action, RejectionReason};
 pub use balancer::Balancer;
-pub use event::{Arrival, AttemptEnd, EndpointRecord, Event, LoadReport, Outcome, Readiness, UpdateKind};
+pub use event::{
+    Arrival, AttemptEnd, DiscoveryReport, EndpointRecord, Event, LoadReport, Outcome, Readiness, UpdateKind,
+};
 pub use ids::{EndpointId, RequestId};
 pub use settings::{
     DeduplicationScope, Idempotency, LoadReportDelivery, RequestClass, Settings, SettingsError, Tenant,
--- a/balancer/src/rejection_log.rs
+++ b/balancer/src/rejection_log.rs
@@ -12,6 +12,7 @@
     no_capacity_count: u32,
     too_late_count: u32,
     attempts_failed_count: u32,
+    stale_list_count: u32,
     logged_at_ms: f64,
 }
 
@@ -37,6 +38,7 @@
             RejectionReason::NoCapacity => &mut self.no_capacity_count,
             RejectionReason::TooLate => &mut self.too_late_count,
             RejectionReason::AttemptsFailed => &mut self.attempts_failed_count,
+            RejectionReason::StaleEndpointList => &mut self.stale_list_count,
         };
         *count += 1;
     }
@@ -46,14 +48,19 @@
         let count = self.quota_exceeded_count
             + self.no_capacity_count
             + self.too_late_count
-            + self.attempts_failed_count;
+            + self.attempts_failed_count
+            + self.stale_list_count;
         now_ms - self.logged_at_ms >= LOG_INTERVAL_MS && count > 0
     }
 
     /// Returns the log line, and resets the numbers of rejections.
     pub fn take_line(&mut self, now_ms: f64, context: &RejectionContext) -> String {
+        let stale_list = match self.stale_list_count {
+            0 => String::new(),
+            count => format!(", {count} stale endpoint list"),
+        };
         let line = format!(
-            "rejected: {} quota exceeded, {} no capacity, {} too late, {} attempts failed; \
+            "rejected: {} quota exceeded, {} no capacity, {} too late, {} attempts failed{stale_list}; \
              saturation {:.2}, traffic share {:.4}, spillover {:.2}, pending {}, ejected {}",
             self.quota_exceeded_count,
             self.no_capacity_count,
--- a/balancer/src/request.rs
+++ b/balancer/src/request.rs
@@ -30,6 +30,8 @@
     pub useful_until_ms: f64,
     /// Time at which attempts are given up, in ms.
     pub give_up_at_ms: f64,
+    /// Time until which the request may wait for a fresh endpoint list, in ms.
+    pub hold_until_ms: f64,
     /// Attempts of the request; the index is the attempt's number.
     pub attempts: Vec<Attempt>,
 }
--- a/balancer/src/settings.rs
+++ b/balancer/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a [`Balancer`](crate::Balancer), and their validation.
 
+use crate::list_staleness;
 use std::fmt;
 
 /// Whether a request of a class may be attempted again after an attempt that may have run.
@@ -111,6 +112,10 @@
     pub max_retry_after_ms: f64,
     /// Longest age of a watch or poll of discovery before the endpoint list counts as stale, in ms.
     pub max_discovery_age_ms: f64,
+    /// Time within which attempts at an endpoint must stop once discovery has its drain, in ms, where the
+    /// drain counts whether or not it has reached this gateway. `None` where only drains that have reached
+    /// this gateway count. Key `safety.drain_grace_ms`.
+    pub drain_grace_ms: Option<f64>,
     /// Fraction of its full capacity that an endpoint has when its process starts, from 0 to 1. Key
     /// `safety.cold_share`.
     pub slow_start_min_ratio: f64,
@@ -174,6 +179,12 @@
 }
 
 impl Settings {
+    /// Returns for how long the endpoint list may be acted on without word from discovery, in ms; `None` if
+    /// the list does not become stale.
+    pub fn list_lifetime_ms(&self) -> Option<f64> {
+        list_staleness::lifetime_ms(self)
+    }
+
     /// Validates all settings.
     ///
     /// # Errors
@@ -193,6 +204,8 @@
         require(self.max_attempts > 0, "max_attempts", "must be 1 or more")?;
         require(self.max_retry_after_ms >= 0.0, "max_retry_after_ms", "must be 0 or more")?;
         require(is_positive(self.max_discovery_age_ms), "ask_within_ms", "must be above 0")?;
+        let grace_is_valid = self.drain_grace_ms.is_none_or(|grace_ms| grace_ms >= 0.0);
+        require(grace_is_valid, "drain_grace_ms", "must be 0 or more")?;
         require(is_ratio(self.slow_start_min_ratio), "cold_share", "must be from 0 to 1")?;
         require(self.slow_start_ms >= 0.0, "cold_ms", "must be 0 or more")?;
         require(is_positive(self.slow_start_overload_multiple), "tip_multiple", "must be above 0")?;
--- a/balancer/src/wakeup.rs
+++ b/balancer/src/wakeup.rs
@@ -1,8 +1,8 @@
 //! Wake-ups: the timer that the balancer requests from the gateway.
 //!
 //! Rule: the balancer wakes at every interval while requests are pending, less often where it sends health
-//! checks, and when discovery is due. If a wake-up is needed earlier than the one already requested, an
-//! additional timer is requested.
+//! checks, when discovery is due, and when the endpoint list becomes stale. If a wake-up is needed earlier
+//! than the one already requested, an additional timer is requested.
 
 /// Interval at which pending requests are tried; the tick if that is longer.
 pub(crate) const WAKE_INTERVAL_MS: f64 = 10.0;
@@ -25,6 +25,8 @@
     pub has_health_checks: bool,
     /// Time at which discovery is to be watched or polled next, in ms, if scheduled.
     pub discovery_due_at_ms: Option<f64>,
+    /// Time at which the endpoint list becomes stale, in ms, if that is ahead.
+    pub list_stale_at_ms: Option<f64>,
 }
 
 impl WakeUp {
@@ -52,6 +54,7 @@
         };
         let wake_at_ms = now_ms + intervals * WAKE_INTERVAL_MS.max(self.tick_ms);
         let wake_at_ms = wake_at_ms.min(reasons.discovery_due_at_ms.unwrap_or(wake_at_ms));
+        let wake_at_ms = wake_at_ms.min(reasons.list_stale_at_ms.unwrap_or(wake_at_ms));
         if wake_at_ms < self.next_at_ms {
             self.next_at_ms = wake_at_ms;
             Some(wake_at_ms)
--- a/balancer/tests/common/mod.rs
+++ b/balancer/tests/common/mod.rs
@@ -39,6 +39,7 @@
         cancellation_allowed: true,
         max_retry_after_ms: 1000.0,
         max_discovery_age_ms: 10_000.0,
+        drain_grace_ms: None,
         slow_start_min_ratio: 0.1,
         slow_start_ms: 20_000.0,
         slow_start_overload_multiple: 4.0,
--- a/balancer/tests/decision_digests/adapter.rs
+++ b/balancer/tests/decision_digests/adapter.rs
@@ -209,6 +209,7 @@
         cancellation_allowed: stream.cancellation_allowed,
         max_retry_after_ms: stream.max_retry_after_ms,
         max_discovery_age_ms: stream.max_discovery_age_ms,
+        drain_grace_ms: None,
         slow_start_min_ratio: stream.slow_start_min_ratio,
         slow_start_ms: stream.slow_start_ms,
         slow_start_overload_multiple: stream.slow_start_overload_multiple,
@@ -298,6 +299,7 @@
                 RejectionReason::NoCapacity => 1,
                 RejectionReason::TooLate => 2,
                 RejectionReason::AttemptsFailed => 3,
+                RejectionReason::StaleEndpointList => 4,
             };
             Output::Reject { request: request.0, reason, retry_after_ms: *retry_after_ms }
         }
--- a/fleet-simulator/src/policy/baselines.rs
+++ b/fleet-simulator/src/policy/baselines.rs
@@ -276,7 +276,7 @@
                     actions.push(Action::WatchEndpoints);
                 }
             }
-            Event::ResponseStarted { .. } | Event::HealthCheckEnd { .. } => {}
+            Event::ResponseStarted { .. } | Event::HealthCheckEnd { .. } | Event::Discovery(_) => {}
         }
     }
 }
--- a/fleet-simulator/src/policy/mod.rs
+++ b/fleet-simulator/src/policy/mod.rs
@@ -41,6 +41,7 @@
         cancellation_allowed: false,
         max_retry_after_ms: 1e9,
         max_discovery_age_ms: 1e6,
+        drain_grace_ms: None,
         slow_start_min_ratio: 1.0,
         slow_start_ms: 0.0,
         slow_start_overload_multiple: 3.0,
--- a/fleet-simulator/src/simulation.rs
+++ b/fleet-simulator/src/simulation.rs
@@ -341,6 +341,8 @@
         cancellation_allowed: world.gateway.may_cancel,
         max_retry_after_ms: world.clients.heed_most_ms,
         max_discovery_age_ms: world.gateway.ask_within_ms,
+        // A drain counts from the event that reports it.
+        drain_grace_ms: None,
         slow_start_min_ratio: world.kinds.iter().map(|k| k.cold.share.bounds().0).fold(1.0, f64::min),
         slow_start_ms: world.kinds.iter().map(|k| k.cold.warm_ms.bounds().1).fold(0.0, f64::max),
         slow_start_overload_multiple: overload_multiples.fold(f64::INFINITY, f64::min).min(1000.0),
--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -11,10 +11,16 @@
 }
 
 impl Clock {
+    /// Returns a clock that is anchored to the Unix time at `started_at`, which is not in the future.
+    pub fn start_at(started_at: Instant) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let anchor_unix = unix.saturating_sub(started_at.elapsed());
+        Clock { anchor: started_at, anchor_unix_ms: anchor_unix.as_secs_f64() * 1000.0 }
+    }
+
     /// Returns a clock that is anchored to the present Unix time.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { anchor: Instant::now(), anchor_unix_ms: unix.as_secs_f64() * 1000.0 }
+        Self::start_at(Instant::now())
     }
 
     /// Converts an instant to milliseconds of Unix time. An instant before the anchor counts as the anchor.
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use ternstack_settings::{Deployment, DeploymentError};
 use thiserror::Error;
+use tokio::time::Instant;
 use tracing::level_filters::LevelFilter;
 
 /// The smallest accepted value of the file's `limits.sockets`, because a gateway with fewer sockets cannot
@@ -50,6 +51,9 @@
     pub max_memory_bytes: u64,
     /// The share of a processor core that the process may use, up to 1.
     pub cores: f64,
+    /// The time from which the age of the cached list counts: the start of the process, or else the time at which
+    /// the configuration was read.
+    pub started_at: Instant,
     /// The endpoint list that the balancer uses until discovery has responded.
     pub cached_list: EndpointList,
     /// The parsed settings of the file: classes, tenants, zones and limits.
@@ -201,6 +205,7 @@
             max_sockets: usize::try_from(max_sockets).unwrap_or(usize::MAX),
             max_memory_bytes,
             cores,
+            started_at: Instant::now(),
             cached_list,
             deployment: Deployment::from_json(settings)?,
             log_level,
--- a/gateway/src/discovery/connection.rs
+++ b/gateway/src/discovery/connection.rs
@@ -1,5 +1,5 @@
 //! The connection to discovery, and the descriptor that is reserved for the connection.
-use super::WatchError;
+use super::error::WatchError;
 use crate::http1::{CompleteMessage, Reader, StatusLine};
 use crate::memory::{Memory, MemoryLease};
 use crate::memory_budget::Work;
@@ -89,14 +89,17 @@
                     self.lease.set_bytes(0);
                     return Ok(response);
                 }
+                None if is_closed && reader.has_begun() => return Err(WatchError::Truncated),
                 None if is_closed => return Err(WatchError::Closed),
                 None => {}
             }
             if reader.memory_bytes() > SMALL_LIST_BYTES {
                 self.lease.reserve(reader.memory_bytes().max(reader.max_memory_bytes())).await?;
             }
-            let read_bytes = sockets::read(stream, reader.buffer()).await.map_err(WatchError::Receive)?;
-            is_closed = read_bytes == 0;
+            let read = sockets::read(stream, reader.buffer()).await;
+            let received =
+                |e| if reader.has_begun() { WatchError::Truncated } else { WatchError::Receive(e) };
+            is_closed = read.map_err(received)? == 0;
         }
     }
 }
--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -1,55 +1,24 @@
 //! The client of discovery, which follows the endpoint list by a watch: a series of long polls for changes.
 mod connection;
+mod error;
 mod timing;
+mod watch;
 
 pub use timing::renewal_delay;
 
-use crate::endpoint_list::{EndpointList, EndpointListError};
 use crate::events::{DiscoveryAddressReceiver, DiscoveryEvent, EventSender, GatewayEvent};
-use crate::http1::{ParseError, Reader, StatusLine};
 use crate::loop_lag::LoopLag;
-use crate::memory::{Memory, MemoryExhausted};
-use crate::protocol::endpoints_target;
+use crate::memory::Memory;
 use connection::DiscoveryConnection;
-use std::io;
+use error::WatchError;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use thiserror::Error;
-use timing::{PollTiming, EMPTY_POLL_DELAY, FIRST_POLL, NEXT_POLL};
+use timing::PollTimings;
 use tokio::sync::mpsc;
-use tokio::time::{sleep, Instant};
-use tracing::{debug, info, warn};
-
-/// The largest accepted endpoint list: 4 KiB for each of 1,024 endpoints, an eighth of the smallest gateway's
-/// memory.
-const MAX_LIST_BYTES: usize = 1 << 22;
-/// The HTTP status of a response that contains an endpoint list.
-const STATUS_OK: u16 = 200;
-
-/// The reason why a watch has ended.
-#[derive(Debug, Error)]
-enum WatchError {
-    /// A poll on an open connection had no response in time.
-    #[error("no response in time")]
-    Silent,
-    #[error("cannot connect: {0}")]
-    Connect(#[source] io::Error),
-    #[error("cannot send a poll: {0}")]
-    Send(#[source] io::Error),
-    #[error("cannot receive a response: {0}")]
-    Receive(#[source] io::Error),
-    #[error("connection closed before a complete response")]
-    Closed,
-    #[error("malformed response: {0}")]
-    Parse(#[from] ParseError),
-    #[error("expected status {STATUS_OK}, got {0}")]
-    Status(u16),
-    #[error("malformed endpoint list: {0}")]
-    List(#[from] EndpointListError),
-    #[error("endpoint list: {0}")]
-    Memory(#[from] MemoryExhausted),
-}
+use tokio::time::sleep;
+use tracing::{info, warn};
+use watch::Watch;
 
 /// The configuration of a gateway's watches of discovery.
 #[derive(Debug)]
@@ -60,6 +29,9 @@
     pub revision: Option<u64>,
     /// How long this gateway waits before it renews a silent watch ([`renewal_delay`]).
     pub renewal_delay: Duration,
+    /// How long the endpoint list may be acted on without word from discovery; `None` if the list does not become
+    /// stale.
+    pub list_lifetime: Option<Duration>,
     /// The budget in which the memory of large lists is reserved.
     pub memory: Arc<Memory>,
     /// The measurement of the process's stalls.
@@ -73,11 +45,18 @@
     discovery: DiscoveryAddressReceiver, config: FollowConfig, requests: mpsc::Receiver<()>,
     events: EventSender,
 ) {
-    let mut connection = DiscoveryConnection::new(config.connect_timeout, &config.memory);
-    connection.reserve(*discovery.borrow());
+    let address = *discovery.borrow();
+    let new_connection = || {
+        let mut connection = DiscoveryConnection::new(config.connect_timeout, &config.memory);
+        connection.reserve(address);
+        connection
+    };
+    let timings = PollTimings::new(config.list_lifetime);
     let watcher = Watcher {
         discovery,
-        connection,
+        connection: new_connection(),
+        probe_connection: timings.probe_interval.map(|_| new_connection()),
+        timings,
         revision: config.revision,
         renewal_delay: config.renewal_delay,
         requests,
@@ -105,6 +84,9 @@
 struct Watcher {
     discovery: DiscoveryAddressReceiver,
     connection: DiscoveryConnection,
+    /// The connection of the probes beside a first poll without a response, if probes are sent.
+    probe_connection: Option<DiscoveryConnection>,
+    timings: PollTimings,
     revision: Option<u64>,
     renewal_delay: Duration,
     requests: mpsc::Receiver<()>,
@@ -144,6 +126,8 @@
             if has_moved {
                 // Revisions are not comparable between two instances of discovery.
                 self.revision = None;
+                let moved = GatewayEvent::Discovery(DiscoveryEvent::Moved);
+                self.events.send(moved).await.ok()?;
             }
             match self.watch_once(address).await {
                 NextStep::Watch { has_moved: moved } => has_moved = moved,
@@ -156,8 +140,16 @@
     /// Runs one watch until it ends or discovery's address changes.
     async fn watch_once(&mut self, address: SocketAddr) -> NextStep {
         let delay = if self.has_had_response { Duration::ZERO } else { self.renewal_delay };
-        let Watcher { discovery, connection, revision, events, lag, has_had_response, .. } = self;
-        let mut watch = Watch { connection, revision, has_had_response, events, lag };
+        let Watcher { discovery, connection, probe_connection, timings, revision, .. } = self;
+        let mut watch = Watch {
+            connection,
+            probe_connection: probe_connection.as_mut(),
+            timings,
+            revision,
+            has_had_response: &mut self.has_had_response,
+            events: &self.events,
+            lag: &self.lag,
+        };
         let ended = tokio::select! {
             biased;
             Ok(()) = discovery.changed() => None,
@@ -167,10 +159,13 @@
             } => Some(ended),
         };
         self.connection.reserve(address);
+        if let Some(probe_connection) = &mut self.probe_connection {
+            probe_connection.reserve(address);
+        }
         match ended {
             None => NextStep::Watch { has_moved: true },
             Some(Ok(())) => NextStep::Stop,
-            Some(Err(WatchError::Silent)) if std::mem::take(&mut self.has_had_response) => {
+            Some(Err(error)) if error.is_timeout() && std::mem::take(&mut self.has_had_response) => {
                 info!("watch of discovery is silent; renewing the watch");
                 NextStep::Watch { has_moved: false }
             }
@@ -182,85 +177,3 @@
         while self.requests.try_recv().is_ok() {}
     }
 }
-
-/// The response to a poll.
-struct PollResponse {
-    list: EndpointList,
-    /// Whether the connection can carry another poll.
-    keep_alive: bool,
-}
-
-/// One watch, with the state of the [`Watcher`] that its polls change.
-struct Watch<'a> {
-    connection: &'a mut DiscoveryConnection,
-    revision: &'a mut Option<u64>,
-    has_had_response: &'a mut bool,
-    events: &'a EventSender,
-    lag: &'a LoopLag,
-}
-
-impl Watch<'_> {
-    /// Polls discovery until a poll fails or the event loop ends. Each poll has a deadline of its own, so
-    /// that a silent discovery is noticed. The deadline of the first poll includes the time to connect.
-    async fn run(&mut self, address: SocketAddr) -> Result<(), WatchError> {
-        let mut deadline = Instant::now() + FIRST_POLL.total();
-        self.connection.dial(address, deadline).await?;
-        let mut reader = Reader::new(MAX_LIST_BYTES);
-        info!(discovery = %address, revision = *self.revision, "watching discovery");
-        let mut timing = FIRST_POLL;
-        loop {
-            let polled_at = Instant::now();
-            let PollResponse { list, keep_alive } =
-                self.poll(address, &timing, deadline, &mut reader).await?;
-            (*self.has_had_response, timing) = (true, NEXT_POLL);
-            if self.is_of_another_history(&list) {
-                let (revision, known) = (list.revision, *self.revision);
-                warn!(revision, known, "revision of discovery went back; requesting the complete list");
-                *self.revision = None;
-            } else {
-                // The pause avoids a busy loop if discovery responds to polls without waiting for a change.
-                let is_idle = list.endpoints.is_empty() && polled_at.elapsed() < EMPTY_POLL_DELAY;
-                *self.revision = Some(list.revision);
-                if self.events.send(GatewayEvent::Discovery(DiscoveryEvent::Update(list))).await.is_err() {
-                    return Ok(());
-                }
-                if is_idle {
-                    sleep(EMPTY_POLL_DELAY).await;
-                }
-            }
-            deadline = Instant::now() + NEXT_POLL.total();
-            if !keep_alive || !reader.is_idle() {
-                reader = Reader::new(MAX_LIST_BYTES);
-                self.connection.dial(address, deadline).await?;
-            }
-        }
-    }
-
-    /// Returns whether a list contains changes to a revision that this gateway does not have, because another
-    /// process with revisions of its own has taken discovery's place.
-    fn is_of_another_history(&self, list: &EndpointList) -> bool {
-        !list.is_complete && self.revision.is_some_and(|known| list.revision < known)
-    }
-
-    /// Sends one poll and waits for its response until `deadline`.
-    async fn poll(
-        &mut self, address: SocketAddr, timing: &PollTiming, deadline: Instant,
-        reader: &mut Reader<StatusLine>,
-    ) -> Result<PollResponse, WatchError> {
-        let target = endpoints_target(*self.revision, timing.wait_ms);
-        let request = format!("GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let call = self.connection.call(reader, &request);
-        let response = self.lag.timeout_at(deadline, call).await.ok_or(WatchError::Silent)??;
-        if response.start_line.code != STATUS_OK {
-            return Err(WatchError::Status(response.start_line.code));
-        }
-        let list = EndpointList::from_slice(&response.body)?;
-        debug!(
-            revision = list.revision,
-            is_complete = list.is_complete,
-            endpoints = list.endpoints.len(),
-            "endpoint list received"
-        );
-        Ok(PollResponse { list, keep_alive: response.keep_alive })
-    }
-}
--- a/gateway/src/discovery/timing.rs
+++ b/gateway/src/discovery/timing.rs
@@ -5,11 +5,25 @@
 /// The time within which the gateway must learn of a change, counted from when discovery has the change and
 /// is reachable.
 const NOTIFICATION_DEADLINE: Duration = Duration::from_secs(6);
+/// The longest delay before the response to a poll, apart from the wait for a change, as a fraction of the list's
+/// lifetime.
+const RESPONSE_LIFETIME_RATIO: f64 = 0.2;
+/// The total time of a poll that continues a watch, as a fraction of the list's lifetime.
+const NEXT_POLL_LIFETIME_RATIO: f64 = 0.6;
+/// The interval of the probes beside a first poll, as a fraction of the list's lifetime.
+const PROBE_LIFETIME_RATIO: f64 = 0.25;
+/// How long discovery may wait for a change before it responds to a probe, as a fraction of the probe's interval.
+const PROBE_WAIT_RATIO: f64 = 0.25;
+
+// A list that was confirmed before the watch fell silent is fresh until a probe of the next watch has ended, so that
+// a running gateway goes on sending while discovery is down.
+const _: () = assert!(NEXT_POLL_LIFETIME_RATIO + PROBE_LIFETIME_RATIO < 1.0);
+
 /// The timing of a watch's first poll. Discovery may keep the poll in a queue for up to 3 s. The grace is
 /// longer, so that the gateway does not give up its place in the queue.
-pub(super) const FIRST_POLL: PollTiming = PollTiming { wait_ms: 100, grace: Duration::from_millis(3_100) };
+const FIRST_POLL: PollTiming = PollTiming { wait_ms: 100, grace: Duration::from_millis(3_100) };
 /// The timing of the polls that continue a watch. Discovery does not queue these polls.
-pub(super) const NEXT_POLL: PollTiming = PollTiming { wait_ms: 2_500, grace: Duration::from_millis(500) };
+const NEXT_POLL: PollTiming = PollTiming { wait_ms: 2_500, grace: Duration::from_millis(500) };
 /// The pause after a poll that was answered at once without a change. The pause stays below 200 ms, after
 /// which a watch counts as broken.
 pub(super) const EMPTY_POLL_DELAY: Duration = Duration::from_millis(50);
@@ -31,6 +45,38 @@
 const _: () = assert!(NEXT_POLL.total().as_millis() <= FIRST_POLL.total().as_millis());
 const _: () = assert!(MAX_RENEWAL_DELAY.as_millis() < MAX_BACKOFF.as_millis());
 
+/// The timings of the polls of a watch.
+pub(super) struct PollTimings {
+    /// The timing of a watch's first poll.
+    pub(super) first: PollTiming,
+    /// The timing of the polls that continue a watch.
+    pub(super) next: PollTiming,
+    /// The interval of the probes beside a first poll without a response; `None` if no probes are sent, because
+    /// the endpoint list does not become stale.
+    pub(super) probe_interval: Option<Duration>,
+}
+
+impl PollTimings {
+    /// Returns timings by which a list is confirmed, or discovery is known to be out of reach, within
+    /// `list_lifetime`. `None` stands for a list that does not become stale.
+    pub(super) fn new(list_lifetime: Option<Duration>) -> Self {
+        let Some(lifetime) = list_lifetime else {
+            return PollTimings { first: FIRST_POLL, next: NEXT_POLL, probe_interval: None };
+        };
+        let probe_interval = lifetime.mul_f64(PROBE_LIFETIME_RATIO).min(FIRST_POLL.total());
+        let first_wait_ms = probe_interval.mul_f64(PROBE_WAIT_RATIO).as_millis() as u64;
+        let first_wait_ms = first_wait_ms.min(FIRST_POLL.wait_ms);
+        let next_grace = lifetime.mul_f64(RESPONSE_LIFETIME_RATIO).min(NEXT_POLL.grace);
+        let next_total = lifetime.mul_f64(NEXT_POLL_LIFETIME_RATIO).min(NEXT_POLL.total());
+        let next_wait_ms = next_total.saturating_sub(next_grace).as_millis() as u64;
+        PollTimings {
+            first: PollTiming { wait_ms: first_wait_ms, grace: FIRST_POLL.grace },
+            next: PollTiming { wait_ms: next_wait_ms, grace: next_grace },
+            probe_interval: Some(probe_interval),
+        }
+    }
+}
+
 /// The timing of a poll.
 pub(super) struct PollTiming {
     /// How long discovery may wait for a change before it responds, in milliseconds.
--- a/gateway/src/event_loop/mod.rs
+++ b/gateway/src/event_loop/mod.rs
@@ -12,6 +12,7 @@
 use crate::endpoint_list::EndpointList;
 use crate::events::{DiscoveryEvent, GatewayEvent, Request, Response};
 use crate::invariants::{Invariant, Violations};
+use crate::list_expiry::ListExpiry;
 use crate::loop_lag::LoopLag;
 use crate::memory::{Memory, MemoryLease};
 use crate::memory_budget::Work;
@@ -22,7 +23,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use ternstack_balancer::{
-    Action, Arrival, Balancer, EndpointId, Event, RequestClass, RequestId, SettingsError, UpdateKind,
+    Action, Arrival, Balancer, DiscoveryReport, EndpointId, Event, RequestClass, RequestId, SettingsError,
+    UpdateKind,
 };
 use ternstack_settings::Deployment;
 use timers::{Timer, Timers};
@@ -53,6 +55,8 @@
     pub violations: Violations,
     /// The measurement of the event loop's lag.
     pub lag: LoopLag,
+    /// The time at which the endpoint list expires, which the event loop sets.
+    pub list_expiry: ListExpiry,
 }
 
 /// The event loop with its state.
@@ -64,6 +68,9 @@
     max_retry_after_ms: f64,
     violations: Violations,
     lag: LoopLag,
+    list_expiry: ListExpiry,
+    /// The time at which the balancer last said that the list becomes stale.
+    list_stale_at_ms: Option<f64>,
     clock: Clock,
     now_ms: f64,
     requests: OpenRequests,
@@ -81,15 +88,17 @@
 }
 
 impl EventLoop {
-    /// Returns an event loop that uses the cached endpoint list until it receives an update.
+    /// Returns an event loop that uses the cached endpoint list until it receives an update. The age of the cached
+    /// list counts from `started_at`.
     ///
     /// # Errors
     /// Fails if the balancer rejects the settings.
     pub fn new(
-        deployment: Deployment, seed: u64, cached_list: EndpointList, dependencies: Dependencies,
+        deployment: Deployment, seed: u64, cached_list: EndpointList, started_at: Instant,
+        dependencies: Dependencies,
     ) -> Result<Self, SettingsError> {
-        let Dependencies { upstream, memory, watch_requests, violations, lag } = dependencies;
-        let clock = Clock::start();
+        let Dependencies { upstream, memory, watch_requests, violations, lag, list_expiry } = dependencies;
+        let clock = Clock::start_at(started_at);
         // A load report that is older than the shortest latency objective is useless.
         let objectives_ms = deployment.balancer.classes.iter().map(|class| class.latency_objective_ms);
         let health_check_timeout_s = (objectives_ms.fold(f64::INFINITY, f64::min) / 1000.0)
@@ -100,11 +109,13 @@
             classes: deployment.balancer.classes.clone(),
             violations,
             lag,
+            list_expiry,
+            list_stale_at_ms: None,
             max_retry_after_ms: deployment.balancer.max_retry_after_ms,
             endpoints: Endpoints::new(deployment.names),
             endpoints_lease: memory.lease(Work::Accepted),
             balancer: Balancer::new(deployment.balancer, seed)?,
-            now_ms: clock.now(),
+            now_ms: clock.at(started_at),
             clock,
             requests: OpenRequests::default(),
             timers: Timers::default(),
@@ -114,7 +125,7 @@
             watch_requests,
             pending_events: VecDeque::new(),
         };
-        event_loop.apply_list(UpdateKind::Cached, cached_list);
+        event_loop.apply_cached_list(cached_list);
         Ok(event_loop)
     }
 
@@ -150,15 +161,30 @@
                 self.health_checks.remove(&endpoint);
                 self.notify_balancer(Event::HealthCheckEnd { endpoint, outcome, report });
             }
-            GatewayEvent::Discovery(DiscoveryEvent::WatchLost) => {
-                self.notify_balancer(Event::EndpointUpdate {
-                    kind: UpdateKind::WatchLost,
-                    endpoints: Vec::new(),
-                });
-            }
-            GatewayEvent::Discovery(DiscoveryEvent::Update(list)) => {
+            GatewayEvent::Discovery(event) => self.on_discovery(event),
+        }
+    }
+
+    fn on_discovery(&mut self, event: DiscoveryEvent) {
+        match event {
+            DiscoveryEvent::Update(list) => {
                 let kind = if list.is_complete { UpdateKind::Complete } else { UpdateKind::Delta };
                 self.apply_list(kind, list);
+                // The answer may have waited in the kernel while the process stalled.
+                let as_of_ms = self.clock.at(self.lag.earliest_arrival());
+                self.notify_balancer(Event::Discovery(DiscoveryReport::Confirmed { as_of_ms }));
+            }
+            DiscoveryEvent::OutOfReach { as_of } => {
+                let as_of_ms = self.clock.at(as_of);
+                self.notify_balancer(Event::Discovery(DiscoveryReport::OutOfReach { as_of_ms }));
+            }
+            DiscoveryEvent::Moved => {
+                let at_ms = self.clock.now();
+                self.notify_balancer(Event::Discovery(DiscoveryReport::Moved { at_ms }));
+            }
+            DiscoveryEvent::WatchLost => {
+                let endpoints = Vec::new();
+                self.notify_balancer(Event::EndpointUpdate { kind: UpdateKind::WatchLost, endpoints });
             }
         }
     }
@@ -187,13 +213,28 @@
     /// Hands the pending events to the balancer and performs the returned actions, until no events are
     /// pending. An action may add further events.
     fn handle_pending_events(&mut self) {
-        let mut actions = Vec::new();
         while let Some(event) = self.pending_events.pop_front() {
             self.now_ms = self.now_ms.max(self.clock.now());
-            self.balancer.handle(self.now_ms, event, &mut actions);
-            for action in actions.drain(..) {
-                self.perform(action);
-            }
+            self.handle_event(event);
+        }
+    }
+
+    /// Hands one event that occurred at `self.now_ms` to the balancer and performs the returned actions.
+    fn handle_event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now_ms, event, &mut actions);
+        self.share_list_expiry();
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    /// Shares the time at which the endpoint list becomes stale with the attempts under way.
+    fn share_list_expiry(&mut self) {
+        let stale_at_ms = self.balancer.list_stale_at_ms();
+        if stale_at_ms != self.list_stale_at_ms {
+            self.list_stale_at_ms = stale_at_ms;
+            self.list_expiry.set(stale_at_ms.map(|at_ms| self.clock.instant(at_ms)));
         }
     }
 
@@ -286,12 +327,29 @@
         }
     }
 
+    /// Applies the cached list at the start of the process, which is the time in `self.now_ms` then.
+    fn apply_cached_list(&mut self, list: EndpointList) {
+        let update = self.endpoint_update(UpdateKind::Cached, list);
+        self.handle_event(update);
+        self.forget_unknown_endpoints();
+    }
+
     fn apply_list(&mut self, kind: UpdateKind, list: EndpointList) {
+        let update = self.endpoint_update(kind, list);
+        self.notify_balancer(update);
+        self.forget_unknown_endpoints();
+    }
+
+    /// Applies a list to the table of endpoints, and returns the update for the balancer.
+    fn endpoint_update(&mut self, kind: UpdateKind, list: EndpointList) -> Event {
         let endpoints = self.endpoints.apply(kind, list, &self.upstream);
         if endpoints.is_empty() && kind != UpdateKind::Delta {
             warn!("endpoint list is empty");
         }
-        self.notify_balancer(Event::EndpointUpdate { kind, endpoints });
+        Event::EndpointUpdate { kind, endpoints }
+    }
+
+    fn forget_unknown_endpoints(&mut self) {
         let balancer = &self.balancer;
         self.endpoints.retain(|endpoint| balancer.knows(endpoint));
         self.endpoints_lease.set_bytes(self.endpoints.memory_bytes());
--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -48,6 +48,13 @@
 pub enum DiscoveryEvent {
     /// A complete list or a delta has been received.
     Update(EndpointList),
+    /// Discovery has left a poll unanswered, or cannot be connected to.
+    OutOfReach {
+        /// The time since which discovery has sent nothing that this gateway does not have.
+        as_of: Instant,
+    },
+    /// Discovery's address has changed, and the list of the instance at the new address may differ.
+    Moved,
     /// The watch has failed. The last list stays in use, and the balancer decides when to request another
     /// watch.
     WatchLost,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod events;
 pub mod http1;
 mod invariants;
+mod list_expiry;
 mod listener;
 pub mod loop_lag;
 pub mod memory;
--- a/gateway/src/permit.rs
+++ b/gateway/src/permit.rs
@@ -43,6 +43,8 @@
     DeadlinePassed,
     /// The endpoint has no address, or is not in service.
     EndpointUnavailable,
+    /// The endpoint list has expired, so that the endpoint may be draining.
+    ListExpired,
     /// The request has used its maximum number of attempts.
     NoAttemptsLeft,
     /// Another attempt of the request is in flight.
@@ -63,6 +65,7 @@
             Denial::RequestClosed
             | Denial::DeadlinePassed
             | Denial::EndpointUnavailable
+            | Denial::ListExpired
             | Denial::DeduplicationOver => None,
             Denial::NoAttemptsLeft => Some(Invariant::AttemptLimit),
             Denial::AttemptInFlight => Some(Invariant::OneAttemptInFlight),
@@ -145,6 +148,8 @@
     pub has_unread_input: bool,
     /// Whether the endpoint is still in service, in the incarnation that the balancer picked.
     pub endpoint_in_service: bool,
+    /// The time at which the endpoint list expires; `None` if the list does not expire.
+    pub list_expires_at: Option<Instant>,
     /// Whether the attempt has been cancelled.
     pub is_cancelled: bool,
 }
@@ -161,6 +166,9 @@
         if !self.endpoint_in_service {
             return Err(Denial::EndpointUnavailable);
         }
+        if self.list_expires_at.is_some_and(|expires_at| expires_at <= now) {
+            return Err(Denial::ListExpired);
+        }
         if self.give_up_at <= now {
             return Err(Denial::DeadlinePassed);
         }
--- a/gateway/src/program/mod.rs
+++ b/gateway/src/program/mod.rs
@@ -70,9 +70,10 @@
 /// Reads the environment and serves until SIGTERM or SIGINT. Returns the exit code, which is 0 after such a
 /// signal.
 pub fn main() -> ExitCode {
+    let started_at = Instant::now();
     let build_runtime = || Builder::new_current_thread().enable_all().build();
     match retry_on_start(build_runtime, is_transient) {
-        Ok(runtime) => runtime.block_on(start()),
+        Ok(runtime) => runtime.block_on(start(started_at)),
         Err(e) => exit_with_error(&ProgramError::Runtime(e)),
     }
 }
@@ -91,11 +92,12 @@
 }
 
 impl Setup {
-    fn read() -> Result<Self, ProgramError> {
+    fn read(started_at: Instant) -> Result<Self, ProgramError> {
         // The signal handlers come first, because a signal that arrives before its handler is installed kills
         // the program.
         let signals = Signals::handle()?;
-        let config = retry_on_start(Config::from_env, is_transiently_unreadable)?;
+        let mut config = retry_on_start(Config::from_env, is_transiently_unreadable)?;
+        config.started_at = started_at;
         let control = match operator_file(std::env::args_os().skip(1))? {
             Some(path) => {
                 let control = ControlConfig::from_file(&path);
@@ -107,8 +109,8 @@
     }
 }
 
-async fn start() -> ExitCode {
-    let Setup { signals, config, control } = match Setup::read() {
+async fn start(started_at: Instant) -> ExitCode {
+    let Setup { signals, config, control } = match Setup::read(started_at) {
         Ok(setup) => setup,
         Err(e) => return exit_with_error(&e),
     };
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::event_loop::{Dependencies, EventLoop};
 use crate::events::{DiscoveryAddressReceiver, EventSender, EVENT_QUEUE_CAPACITY};
 use crate::invariants::Violations;
+use crate::list_expiry::ListExpiry;
 use crate::listener::{Frontend, ShutdownPhase, MAX_LINGERING_CONNECTIONS, MAX_SPARE_CONNECTIONS};
 use crate::loop_lag::LoopLag;
 use crate::upstream::Upstream;
@@ -102,15 +103,21 @@
         discovery: DiscoveryAddressReceiver,
     ) -> Result<Self, ServeError> {
         let budgets = budgets(&config);
-        let Config { name, seed, cached_list, deployment, .. } = config;
+        let Config { name, seed, started_at, cached_list, mut deployment, .. } = config;
+        if control.is_some() {
+            // Control servers have no drains that count before they have reached the gateway.
+            deployment.balancer.drain_grace_ms = None;
+        }
         let address = listener.local_addr().map_err(ServeError::Listener)?;
         let (events, event_queue) = mpsc::channel(EVENT_QUEUE_CAPACITY);
         let (watch_requests, watch_request_queue) = watch_request_channel(&deployment);
         let (phase, phase_receiver) = watch::channel(ShutdownPhase::Serving);
         let (violations, lag) = (Violations::default(), LoopLag::default());
+        let list_expiry = ListExpiry::default();
         let upstream = new_upstream(&deployment, events.clone(), &budgets)
             .with_violations(violations.clone())
-            .with_lag(lag.clone());
+            .with_lag(lag.clone())
+            .with_list_expiry(list_expiry.clone());
         let longest_deadline = longest_deadline(&deployment);
         let list_source =
             ListSource::new(control, discovery, &deployment, &cached_list, &budgets, lag.clone());
@@ -122,8 +129,9 @@
             watch_requests,
             violations: violations.clone(),
             lag: lag.clone(),
+            list_expiry,
         };
-        let event_loop = EventLoop::new(deployment.clone(), seed, cached_list, dependencies)?;
+        let event_loop = EventLoop::new(deployment.clone(), seed, cached_list, started_at, dependencies)?;
         let frontend = Frontend::new(deployment, events.clone(), phase_receiver, budgets, lag.clone());
 
         let lag_monitor = tokio::spawn(lag.run());
@@ -245,6 +253,10 @@
             // Discovery continues a non-empty cached list with changes, even if its revision is 0.
             revision: (!cached_list.endpoints.is_empty()).then_some(cached_list.revision),
             renewal_delay: discovery::renewal_delay(index, gateway_count),
+            list_lifetime: deployment
+                .balancer
+                .list_lifetime_ms()
+                .map(|lifetime_ms| Duration::from_secs_f64(lifetime_ms / 1000.0)),
             memory: budgets.memory.clone(),
             lag,
         };
--- a/gateway/src/upstream/exchange.rs
+++ b/gateway/src/upstream/exchange.rs
@@ -46,7 +46,7 @@
         _ = &mut attempt.cancelled => return Outcome::NotSent.into(),
         () = wait_for_unread_input(&attempt.unread_input) => {}
     }
-    if let Err(denial) = check_first_byte(attempt) {
+    if let Err(denial) = check_first_byte(attempt, upstream.list_expiry.get()) {
         debug!(purpose = ?attempt.purpose, ?denial, "attempt not sent");
         return Outcome::NotSent.into();
     }
@@ -71,12 +71,13 @@
 }
 
 /// Checks that an attempt's first byte may be written now.
-fn check_first_byte(attempt: &mut Attempt) -> Result<(), Denial> {
+fn check_first_byte(attempt: &mut Attempt, list_expires_at: Option<Instant>) -> Result<(), Denial> {
     FirstByte {
         give_up_at: attempt.give_up_at,
         send_by: attempt.send_by,
         has_unread_input: attempt.unread_input.is_pending(),
         endpoint_in_service: attempt.is_endpoint_in_service(),
+        list_expires_at,
         is_cancelled: !matches!(attempt.cancelled.try_recv(), Err(TryRecvError::Empty)),
     }
     .check(Instant::now())
--- a/gateway/src/upstream/mod.rs
+++ b/gateway/src/upstream/mod.rs
@@ -14,6 +14,7 @@
 use crate::descriptors::Descriptors;
 use crate::events::{AttemptResult, EventSender, GatewayEvent, ServedResponse};
 use crate::invariants::Violations;
+use crate::list_expiry::ListExpiry;
 use crate::loop_lag::LoopLag;
 use crate::memory::Memory;
 use crate::protocol::LOAD_REPORT;
@@ -51,6 +52,7 @@
     memory: Arc<Memory>,
     violations: Violations,
     lag: LoopLag,
+    list_expiry: ListExpiry,
     idle_timeout: Duration,
     connect_timeout: Duration,
 }
@@ -72,6 +74,7 @@
             memory: Memory::new(usize::MAX),
             violations: Violations::default(),
             lag: LoopLag::default(),
+            list_expiry: ListExpiry::default(),
             idle_timeout,
             connect_timeout,
         }
@@ -95,6 +98,12 @@
         self
     }
 
+    /// Sends no attempt once the list has expired, which never happens by default.
+    pub fn with_list_expiry(mut self, list_expiry: ListExpiry) -> Self {
+        self.list_expiry = list_expiry;
+        self
+    }
+
     /// Sends an attempt over an idle connection to its endpoint, or over a new connection if none is idle.
     /// The result is sent to the event loop.
     pub fn start(&self, attempt: Attempt) {
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -206,6 +206,8 @@
     config["settings"]["limits"]["dial_timeout_ms"] = json!(20_000.0);
     config["settings"]["limits"]["max_attempts"] = json!(6);
     config["settings"]["discovery"] = "push".into();
+    // Discovery is silent in most tests that use this configuration, and the list is to stay in use.
+    config["settings"]["safety"] = json!({"drain_grace_ms": 600_000.0});
     config
 }
 
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -3,12 +3,13 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 mod discovery;
+mod failing_discovery;
 mod fixtures;
 mod gateway;
 mod servers;
 
 #[allow(unused_imports, reason = "each test file uses only some of the helpers")]
-pub use {discovery::*, fixtures::*, gateway::*, servers::*};
+pub use {discovery::*, failing_discovery::*, fixtures::*, gateway::*, servers::*};
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -93,6 +93,7 @@
         connect_timeout: TEST_TIMEOUT,
         revision: Some(41),
         renewal_delay,
+        list_lifetime: None,
         memory,
         lag: LoopLag::default(),
     };
--- a/settings/src/defaults.rs
+++ b/settings/src/defaults.rs
@@ -22,6 +22,9 @@
 /// `safety.ask_within_ms`: maximum age of the gateway's discovery watch or its last discovery poll, in ms.
 pub(crate) const MAX_DISCOVERY_AGE_MS: f64 = 10_000.0;
 
+/// `safety.drain_grace_ms`: time within which attempts at an endpoint must stop once its drain counts, in ms.
+pub(crate) const DRAIN_GRACE_MS: f64 = 2000.0;
+
 /// `safety.cold_share`: fraction of its capacity at which an endpoint begins slow start, from 0 to 1.
 pub(crate) const SLOW_START_MIN_RATIO: f64 = 0.1;
 
--- a/settings/src/deployment.rs
+++ b/settings/src/deployment.rs
@@ -108,6 +108,7 @@
     let result_mix = root.section("result_mix", "result_mix.");
     let load_report_delivery = read_load_report_delivery(&root.section("report", "report."))?;
     let poll_discovery = read_poll_discovery(root)?;
+    let drain_grace_ms = safety.number_or("drain_grace_ms", defaults::DRAIN_GRACE_MS)?;
     let clients_honor_retry_after = limits.bool_or("retry_after", true)?;
     Ok(Settings {
         classes,
@@ -132,6 +133,7 @@
             0.0
         },
         max_discovery_age_ms: safety.number_or("ask_within_ms", defaults::MAX_DISCOVERY_AGE_MS)?,
+        drain_grace_ms: (!poll_discovery).then_some(drain_grace_ms),
         slow_start_min_ratio: safety.number_or("cold_share", defaults::SLOW_START_MIN_RATIO)?,
         slow_start_ms: safety.number_or("cold_ms", defaults::SLOW_START_MS)?,
         slow_start_overload_multiple: safety
--- a/settings/tests/keys.rs
+++ b/settings/tests/keys.rs
@@ -212,3 +212,30 @@
     assert_eq!(stable_hash(""), 0xcbf2_9ce4_8422_2325);
     assert_eq!(stable_hash("10.0.0.1:80"), 0x529f_5a4b_643f_a605);
 }
+
+// Guards against a grace that is read nowhere, so that a cached list is used without a time limit.
+#[test]
+fn drain_grace_is_read_where_lists_are_pushed_and_2_s_by_default() {
+    let cases = [
+        (r#""discovery":"push","safety":{"drain_grace_ms":1500}"#, Some(1500.0)),
+        (r#""safety":{"drain_grace_ms":1500}"#, Some(1500.0)),
+        (r#""discovery":"push""#, Some(2000.0)),
+        (r#""discovery":"ask","safety":{"drain_grace_ms":1500}"#, None),
+    ];
+    for (settings, expected) in cases {
+        let settings = parse_json(&format!(r#"{{"classes":[{{"deadline_ms":600}}],{settings}}}"#));
+        let deployment = Deployment::from_json(&settings).expect("the settings are valid");
+        assert_eq!(deployment.balancer.drain_grace_ms, expected, "{settings}");
+    }
+    let invalid = [
+        (
+            r#"{"classes":[{"deadline_ms":600}],"safety":{"drain_grace_ms":-1}}"#,
+            "drain_grace_ms: must be 0 or more",
+        ),
+        (r#"{"classes":[{"deadline_ms":600}],"safety":{"drain_grace_ms":"x"}}"#, "must be a number"),
+    ];
+    for (settings, expected) in invalid {
+        let error = Deployment::from_json(&parse_json(settings)).expect_err("the grace is invalid");
+        assert!(error.to_string().ends_with(expected), "{error}");
+    }
+}
--- a/simulator-adapter/src/gateway.rs
+++ b/simulator-adapter/src/gateway.rs
@@ -15,7 +15,9 @@
 
 impl Gateway {
     /// Creates a gateway without endpoints and requests. `seed` seeds the random generator of the balancer.
-    pub fn new(deployment: Deployment, seed: u64) -> Result<Self, SettingsError> {
+    pub fn new(mut deployment: Deployment, seed: u64) -> Result<Self, SettingsError> {
+        // In the simulator a drain counts from the event that reports it, so that a list is never stale.
+        deployment.balancer.drain_grace_ms = None;
         Ok(Gateway {
             balancer: Balancer::new(deployment.balancer, seed)?,
             names: deployment.names,
