Remove four functions without callers

Memory::reserved_bytes, MemoryLease::bytes, CloseCounters::count and Violations::count were left behind by earlier changes: neither the program nor a test calls them.

--- a/gateway/src/closes.rs
+++ b/gateway/src/closes.rs
@@ -27,9 +27,4 @@
         let count = self.0[reason as usize].fetch_add(1, Relaxed) + 1;
         info!(?reason, connection_id, bytes, count, "ending client connection");
     }
-
-    /// Returns how many connections were ended for `reason`.
-    pub fn count(&self, reason: CloseReason) -> u64 {
-        self.0[reason as usize].load(Relaxed)
-    }
 }
--- a/gateway/src/invariants.rs
+++ b/gateway/src/invariants.rs
@@ -55,11 +55,6 @@
         error!(?invariant, request_id, count, "invariant violated: {detail}");
     }
 
-    /// Returns how often `invariant` has been violated.
-    pub fn count(&self, invariant: Invariant) -> u64 {
-        self.0[invariant as usize].load(Relaxed)
-    }
-
     /// Returns the number of violations of all invariants.
     pub fn total(&self) -> u64 {
         self.0.iter().map(|count| count.load(Relaxed)).sum()
--- a/gateway/src/memory.rs
+++ b/gateway/src/memory.rs
@@ -67,11 +67,6 @@
         MemoryLease { memory: self.clone(), id, evicted, is_evicted: false }
     }
 
-    /// Returns the number of bytes that all holders have reserved.
-    pub fn reserved_bytes(&self) -> usize {
-        self.lock().budget.reserved_bytes()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -152,11 +147,6 @@
         inner.notify_granted();
     }
 
-    /// Returns the number of reserved bytes.
-    pub fn bytes(&self) -> usize {
-        self.memory.lock().budget.bytes_of(self.id)
-    }
-
     /// Records what the bytes are needed for.
     pub fn set_work(&self, work: Work) {
         let now_ms = self.memory.now_ms();
