Test that the age of a cached list counts from the start of the process

The configuration and the port are retried for 5 s each before the event loop runs, and this time counts towards the grace. The test holds the port for three times the grace and expects 503 from then on; with the age counted from the event loop the request would be forwarded.

--- a/gateway/tests/program.rs
+++ b/gateway/tests/program.rs
@@ -188,6 +188,32 @@
     assert_eq!(program.terminate(), Some(0));
 }
 
+// Guards against the age of a cached list that counts only from the time at which the gateway listens.
+#[tokio::test]
+async fn the_age_of_a_cached_list_counts_from_the_start_of_the_process() {
+    const DRAIN_GRACE: Duration = Duration::from_millis(400);
+    let mut server = StubServer::start(SERVE).await;
+    let held_listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port is bound");
+    let mut config =
+        gateway_config(vec![endpoint_entry(1, server.address, "SERVING")], refusing_address().await);
+    config["listen"] = json!(held_listener.local_addr().expect("a listener has an address").to_string());
+    config["settings"]["discovery"] = "push".into();
+    config["settings"]["safety"] = json!({"drain_grace_ms": DRAIN_GRACE.as_millis() as u64});
+    let releasing_thread = std::thread::spawn(move || {
+        std::thread::sleep(DRAIN_GRACE * 3);
+        drop(held_listener);
+    });
+    let program = GatewayProcess::start("", "aged", &config);
+    releasing_thread.join().expect("the releasing thread does not panic");
+    let stream =
+        tokio::net::TcpStream::connect(&program.address).await.expect("the program listens on its port");
+    let response = Client { stream }.request(&look_request("late")).await;
+    assert_eq!(response.start_line.code, 503, "the list became stale before the program listened");
+    assert_eq!(server.take_events(), (vec![], 0));
+    program.wait_for_log("endpoint list stale");
+    assert_eq!(program.terminate(), Some(0));
+}
+
 #[tokio::test]
 async fn a_discovery_that_is_down_at_startup_or_at_a_new_address_is_watched_once_it_listens() {
     let (old_port, new_port) = (ReservedPort::new(), ReservedPort::new());
