Count discovery as out of reach only after a silence of its own

Cause, by reading: a first poll that had not ended after one probe interval counted as unanswered even if its response had begun, or if this machine had failed to connect meanwhile. Discovery is in reach then, and may have a drain that has not arrived, so that the list was taken for fresh too long.

Change: each connection records since when it has had no sign of discovery (`Silence`); a first byte or a local failure ends the silence, and only half a probe interval of it counts.

A new test has discovery answer with garbage, or with half a response: the list becomes stale. It also passes on, so it guards the rule and doesn't show this fault.

--- a/gateway/src/discovery/connection.rs
+++ b/gateway/src/discovery/connection.rs
@@ -1,5 +1,6 @@
 //! The connection to discovery, and the descriptor that is reserved for the connection.
 use super::error::WatchError;
+use super::silence::Silence;
 use crate::http1::{CompleteMessage, Reader, StatusLine};
 use crate::memory::{Memory, MemoryLease};
 use crate::memory_budget::Work;
@@ -26,16 +27,28 @@
     reserved: Option<TcpSocket>,
     /// The memory of a large response while it is received.
     lease: MemoryLease,
+    silence: Silence,
 }
 
 impl DiscoveryConnection {
     pub(super) fn new(connect_timeout: Duration, memory: &Arc<Memory>) -> Self {
         let lease = memory.lease(Work::Accepted);
-        DiscoveryConnection { connect_timeout, stream: None, reserved: None, lease }
+        DiscoveryConnection {
+            connect_timeout,
+            stream: None,
+            reserved: None,
+            lease,
+            silence: Silence::default(),
+        }
+    }
+
+    /// Returns the silence of discovery on this connection, which later changes as the connection is used.
+    pub(super) fn silence(&self) -> Silence {
+        self.silence.clone()
     }
 
-    /// Closes the connection, releases its memory, and reserves its descriptor by opening an unconnected socket. No other task can
-    /// take the descriptor, because none runs in between.
+    /// Closes the connection, releases its memory, and reserves its descriptor by opening an unconnected socket. No
+    /// other task can take the descriptor, because none runs in between.
     pub(super) fn reserve(&mut self, address: SocketAddr) {
         self.stream = None;
         self.lease.set_bytes(0);
@@ -48,6 +61,7 @@
     pub(super) async fn dial(&mut self, address: SocketAddr, deadline: Instant) -> Result<(), WatchError> {
         loop {
             self.reserve(address);
+            self.silence.restart();
             match self.connect(address, deadline.min(Instant::now() + self.connect_timeout)).await {
                 Ok(stream) => {
                     self.stream = Some(stream);
@@ -58,6 +72,7 @@
                         && Instant::now() + LOCAL_RETRY_DELAY < deadline =>
                 {
                     debug!(error = %e, "cannot connect to discovery; retrying");
+                    self.silence.end();
                     sleep(LOCAL_RETRY_DELAY).await;
                 }
                 Err(e) => return Err(WatchError::Connect(e)),
@@ -82,6 +97,7 @@
     ) -> Result<CompleteMessage<StatusLine>, WatchError> {
         let stream = self.stream.as_ref().ok_or(WatchError::Closed)?;
         sockets::write_all(stream, &mut request.as_bytes()).await.map_err(WatchError::Send)?;
+        self.silence.begin();
         let mut is_closed = false;
         loop {
             match reader.next(is_closed)? {
@@ -100,6 +116,9 @@
             let received =
                 |e| if reader.has_begun() { WatchError::Truncated } else { WatchError::Receive(e) };
             is_closed = read.map_err(received)? == 0;
+            if !is_closed {
+                self.silence.end();
+            }
         }
     }
 }
--- a/gateway/src/discovery/error.rs
+++ b/gateway/src/discovery/error.rs
@@ -49,13 +49,14 @@
     }
 
     /// Returns the time up to which discovery cannot have had a change that this gateway does not have: a poll
-    /// that was sent at `polled_at` ended without the first byte of a response at `ended_at`. `None` if discovery
-    /// may be in reach, so that the change may only have failed to arrive.
-    pub(super) fn out_of_reach_as_of(&self, polled_at: Instant, ended_at: Instant) -> Option<Instant> {
+    /// that began at `polled_at` has failed at `ended_at`. `None` if discovery may be in reach, so that the change
+    /// may only have failed to arrive. `was_silent` says whether discovery gave no sign for long enough.
+    pub(super) fn out_of_reach_as_of(
+        &self, polled_at: Instant, ended_at: Instant, was_silent: bool,
+    ) -> Option<Instant> {
         match self {
-            WatchError::Silent | WatchError::Send(_) | WatchError::Status(STATUS_UNAVAILABLE) => {
-                Some(polled_at)
-            }
+            WatchError::Silent => was_silent.then_some(polled_at),
+            WatchError::Send(_) | WatchError::Status(STATUS_UNAVAILABLE) => Some(polled_at),
             WatchError::Connect(e) => (!is_local(e) && !has_no_route(e)).then_some(polled_at),
             // Discovery would have written a change before it closed the connection.
             WatchError::Receive(_) | WatchError::Closed => Some(ended_at.max(polled_at)),
--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -1,6 +1,7 @@
 //! The client of discovery, which follows the endpoint list by a watch: a series of long polls for changes.
 mod connection;
 mod error;
+mod silence;
 mod timing;
 mod watch;
 
--- a/gateway/src/discovery/timing.rs
+++ b/gateway/src/discovery/timing.rs
@@ -12,6 +12,8 @@
 const NEXT_POLL_LIFETIME_RATIO: f64 = 0.6;
 /// The interval of the probes beside a first poll, as a fraction of the list's lifetime.
 const PROBE_LIFETIME_RATIO: f64 = 0.25;
+/// The silence for which discovery counts as out of reach, as a fraction of the interval of the probes.
+const MIN_SILENCE_RATIO: f64 = 0.5;
 /// How long discovery may wait for a change before it responds to a probe, as a fraction of the probe's interval.
 const PROBE_WAIT_RATIO: f64 = 0.25;
 
@@ -54,6 +56,9 @@
     /// The interval of the probes beside a first poll without a response; `None` if no probes are sent, because
     /// the endpoint list does not become stale.
     pub(super) probe_interval: Option<Duration>,
+    /// The silence for which discovery counts as out of reach. A shorter one proves nothing, because the poll may
+    /// have been sent late.
+    pub(super) min_silence: Duration,
 }
 
 impl PollTimings {
@@ -61,7 +66,12 @@
     /// `list_lifetime`. `None` stands for a list that does not become stale.
     pub(super) fn new(list_lifetime: Option<Duration>) -> Self {
         let Some(lifetime) = list_lifetime else {
-            return PollTimings { first: FIRST_POLL, next: NEXT_POLL, probe_interval: None };
+            return PollTimings {
+                first: FIRST_POLL,
+                next: NEXT_POLL,
+                probe_interval: None,
+                min_silence: FIRST_POLL.total(),
+            };
         };
         let probe_interval = lifetime.mul_f64(PROBE_LIFETIME_RATIO).min(FIRST_POLL.total());
         let first_wait_ms = probe_interval.mul_f64(PROBE_WAIT_RATIO).as_millis() as u64;
@@ -73,6 +83,7 @@
             first: PollTiming { wait_ms: first_wait_ms, grace: FIRST_POLL.grace },
             next: PollTiming { wait_ms: next_wait_ms, grace: next_grace },
             probe_interval: Some(probe_interval),
+            min_silence: probe_interval.mul_f64(MIN_SILENCE_RATIO),
         }
     }
 }
--- a/gateway/src/discovery/watch.rs
+++ b/gateway/src/discovery/watch.rs
@@ -6,6 +6,7 @@
 //! responds to the first poll.
 use super::connection::DiscoveryConnection;
 use super::error::{WatchError, STATUS_OK};
+use super::silence::Silence;
 use super::timing::{PollTiming, PollTimings, EMPTY_POLL_DELAY};
 use crate::endpoint_list::EndpointList;
 use crate::events::{DiscoveryEvent, EventSender, GatewayEvent};
@@ -94,7 +95,8 @@
         };
         info!(discovery = %address, revision = *self.revision, "watching discovery");
         let deadline = Instant::now() + self.timings.first.total();
-        let first = polls.reported(polls.open(self.connection, deadline));
+        let silence = self.connection.silence();
+        let first = polls.reported(self.connection.silence(), polls.open(self.connection, deadline));
         let (Some(probe_connection), Some(interval)) =
             (self.probe_connection.as_deref_mut(), self.timings.probe_interval)
         else {
@@ -103,7 +105,7 @@
         let response = tokio::select! {
             biased;
             response = first => return response,
-            response = polls.probe(probe_connection, interval) => response,
+            response = polls.probe(probe_connection, interval, &silence) => response,
         };
         debug!("a probe of discovery was answered before the first poll");
         std::mem::swap(self.connection, probe_connection);
@@ -123,6 +125,7 @@
             timings: self.timings,
         };
         let deadline = Instant::now() + self.timings.next.total();
+        let silence = self.connection.silence();
         let next = async {
             if !keep_alive || !reader.is_idle() {
                 *reader = Reader::new(MAX_LIST_BYTES);
@@ -130,7 +133,7 @@
             }
             polls.send(self.connection, reader, &self.timings.next, deadline).await
         };
-        polls.reported(next).await
+        polls.reported(silence, next).await
     }
 }
 
@@ -145,16 +148,21 @@
 
 impl Polls<'_> {
     /// Sends polls on `connection`, each of them given up after `interval`, until one has a response. The first of
-    /// them follows one interval after the call.
-    async fn probe(&self, connection: &mut DiscoveryConnection, interval: Duration) -> FirstResponse {
+    /// them follows one interval after the call, at which the first poll begins, whose silence is `first_silence`.
+    async fn probe(
+        &self, connection: &mut DiscoveryConnection, interval: Duration, first_silence: &Silence,
+    ) -> FirstResponse {
         let begun_at = Instant::now();
         let mut due_at = begun_at + interval;
         self.lag.sleep_until(due_at).await;
-        // The first poll has been silent for as long as a probe may be.
-        self.report_out_of_reach(begun_at).await;
+        // The first poll shows by now what a probe would have shown.
+        if first_silence.has_lasted(self.timings.min_silence) {
+            self.report_out_of_reach(begun_at).await;
+        }
         loop {
             due_at = Instant::now() + interval;
-            if let Ok(response) = self.reported(self.open(connection, due_at)).await {
+            let probe = self.reported(connection.silence(), self.open(connection, due_at));
+            if let Ok(response) = probe.await {
                 return response;
             }
             self.lag.sleep_until(due_at).await;
@@ -199,11 +207,15 @@
 
     /// Waits for the result of a poll that is sent now, and reports a failure that shows that discovery is out of
     /// reach.
-    async fn reported<T>(&self, poll: impl Future<Output = Result<T, WatchError>>) -> Result<T, WatchError> {
+    async fn reported<T>(
+        &self, silence: Silence, poll: impl Future<Output = Result<T, WatchError>>,
+    ) -> Result<T, WatchError> {
         let polled_at = Instant::now();
         let result = poll.await;
         if let Err(error) = &result {
-            if let Some(as_of) = error.out_of_reach_as_of(polled_at, self.lag.earliest_arrival()) {
+            let was_silent = silence.has_lasted(self.timings.min_silence);
+            let ended_at = self.lag.earliest_arrival();
+            if let Some(as_of) = error.out_of_reach_as_of(polled_at, ended_at, was_silent) {
                 self.report_out_of_reach(as_of).await;
             }
         }
--- a/gateway/tests/common/failing_discovery.rs
+++ b/gateway/tests/common/failing_discovery.rs
@@ -18,6 +18,21 @@
     Refusing,
     /// No new connection is established, and open ones fall silent for good.
     Unreachable,
+    /// Each poll gets a response that is no endpoint list.
+    Garbled,
+    /// Each poll gets the first half of a response, and no more.
+    Stalled,
+}
+
+impl Outage {
+    /// Returns the bytes that a poll gets.
+    fn response(self) -> &'static [u8] {
+        match self {
+            Outage::Silent | Outage::Refusing | Outage::Unreachable => b"",
+            Outage::Garbled => b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n{\"rev",
+            Outage::Stalled => b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"rev",
+        }
+    }
 }
 
 /// The state that the connections of a [`FailingDiscovery`] share.
@@ -120,7 +135,7 @@
         if outage == Some(Outage::Refusing) {
             listener = None;
         }
-        let is_accepting = matches!(outage, None | Some(Outage::Silent));
+        let is_accepting = !matches!(outage, Some(Outage::Refusing | Outage::Unreachable));
         let accepted = async {
             match &mut listener {
                 Some(listener) if is_accepting => listener.accept().await,
@@ -146,18 +161,17 @@
     let generation = state.borrow().generation;
     let is_useless = |state: &State| state.outage.is_some() || state.generation != generation;
     let mut useless = state.clone();
-    let closes = async {
-        match useless.wait_for(is_useless).await {
-            Ok(state) => state.outage == Some(Outage::Refusing),
-            Err(_) => true,
-        }
-    };
-    let closes = tokio::select! {
+    let outage = async { useless.wait_for(is_useless).await.map_or(None, |state| state.outage) };
+    let outage = tokio::select! {
         biased;
-        closes = closes => closes,
-        () = answer_polls(&mut stream, &mut state) => true,
+        outage = outage => outage,
+        () = answer_polls(&mut stream, &mut state) => return,
     };
-    if !closes {
+    if outage == Some(Outage::Refusing) {
+        return;
+    }
+    let response = outage.map_or(&b""[..], Outage::response);
+    if stream.write_all(response).await.is_ok() {
         // The connection stays open until the gateway closes it.
         read_until_closed(&mut stream).await;
     }
--- a/gateway/tests/list_staleness.rs
+++ b/gateway/tests/list_staleness.rs
@@ -221,6 +221,39 @@
     assert!(last(&serving) > Some(back_at + DRAIN_GRACE), "{context}: the other endpoint serves");
 }
 
+// Guards against a discovery that is in reach, and whose responses the gateway cannot use, that counts as one that has
+// nothing to say.
+#[tokio::test(start_paused = true)]
+async fn responses_that_cannot_be_read_do_not_keep_a_list_fresh() {
+    let _clock = start_clock_driver(true);
+    let mut checks = JoinSet::new();
+    for outage in [Outage::Garbled, Outage::Stalled] {
+        checks.spawn(async move {
+            let fleet = Fleet::start().await;
+            let draining_entry = fleet.draining_entry();
+            let started_at = Instant::now();
+            let gateway = Gateway::start(&fleet.config).await;
+            let (draining, serving) = (record_requests(fleet.draining), record_requests(fleet.serving));
+            let garbled_at = started_at + Duration::from_millis(1500);
+            let back_at = garbled_at + Duration::from_secs(4);
+            let until = back_at + Duration::from_secs(3);
+            let (answers, ()) = tokio::join!(send_requests(&gateway, until), async {
+                sleep_until(garbled_at).await;
+                fleet.discovery.set_outage(Some(outage));
+                fleet.discovery.set(draining_entry);
+                sleep_until(back_at).await;
+                fleet.discovery.set_outage(None);
+            });
+            let late = last(&draining).expect("requests are sent before the drain") - garbled_at;
+            assert!(late <= DRAIN_GRACE, "{outage:?}: last request to the draining endpoint {late:?} late");
+            assert_served(&answers, started_at, garbled_at, &format!("{outage:?}"));
+            assert_served(&answers, back_at + RECOVERY, until, &format!("{outage:?}"));
+            assert!(last(&serving) > Some(back_at), "{outage:?}: the other endpoint serves again");
+        });
+    }
+    checks.join_all().await;
+}
+
 // Guards against a silent watch whose missed changes arrive later than they count.
 #[tokio::test(start_paused = true)]
 async fn a_watch_that_falls_silent_while_discovery_is_in_reach_misses_no_drain() {
