Keep the port of the tests' failing discovery reserved while it refuses connections

While the stub refuses connections it had closed its listener, and the port went to a server or a connection of another test: the stub could not listen again, gateways polled that server, or their polls were counted there as requests to a draining endpoint.

Change: the stub holds a bound socket for its lifetime, with which its listener shares the port. No assertion or bound changes.

--- a/gateway/tests/common/failing_discovery.rs
+++ b/gateway/tests/common/failing_discovery.rs
@@ -66,8 +66,8 @@
 impl FailingDiscovery {
     /// Starts with a list of revision 41, which a gateway of [`gateway_config`] has cached.
     pub async fn start(entries: Vec<Value>) -> Self {
-        let listener = listen_at("127.0.0.1:0".parse().expect("the address is well-formed"));
-        let address = listener.local_addr().expect("a listener has an address");
+        let reserved_port = reusable_socket(([127, 0, 0, 1], 0).into());
+        let address = reserved_port.local_addr().expect("a bound socket has an address");
         let state = State {
             outage: None,
             generation: 0,
@@ -76,7 +76,7 @@
             delay: Duration::ZERO,
         };
         let state = watch::Sender::new(state);
-        tokio::spawn(accept(listener, state.subscribe()));
+        tokio::spawn(accept(reserved_port, state.subscribe()));
         FailingDiscovery { address, state }
     }
 
@@ -105,12 +105,17 @@
     }
 }
 
-/// Listens with the smallest backlog, which [`fill_backlog`] can fill.
-fn listen_at(address: SocketAddr) -> TcpListener {
+/// Returns a bound socket whose port further sockets of this kind can share, unless one of them listens.
+fn reusable_socket(address: SocketAddr) -> TcpSocket {
     let socket = TcpSocket::new_v4().expect("a socket is created");
     socket.set_reuseaddr(true).expect("the option can be set");
     socket.bind(address).expect("the port is free");
-    socket.listen(1).expect("the socket listens")
+    socket
+}
+
+/// Listens with the smallest backlog, which [`fill_backlog`] can fill.
+fn listen_at(address: SocketAddr) -> TcpListener {
+    reusable_socket(address).listen(1).expect("the socket listens")
 }
 
 /// Connects until no further connection is established.
@@ -122,10 +127,11 @@
     streams
 }
 
-/// Accepts connections except during an outage in which none are established.
-async fn accept(listener: TcpListener, mut state: watch::Receiver<State>) {
-    let address = listener.local_addr().expect("a listener has an address");
-    let mut listener = Some(listener);
+/// Accepts connections except during an outage in which none are established. `reserved_port` keeps the port from
+/// other sockets while nothing listens there.
+async fn accept(reserved_port: TcpSocket, mut state: watch::Receiver<State>) {
+    let address = reserved_port.local_addr().expect("a bound socket has an address");
+    let mut listener = Some(listen_at(address));
     loop {
         let outage = state.borrow_and_update().outage;
         let _backlog_fillers = match outage {
