--- a/gateway/src/discovery/watch.rs
+++ b/gateway/src/discovery/watch.rs
@@ -50,7 +50,7 @@
     pub(super) lag: &'a LoopLag,
 }
 
-impl Watch<'_> {
+impl<'a> Watch<'a> {
     /// Polls discovery until a poll fails or the event loop ends. Each poll has a deadline of its own, so
     /// that a silent discovery is noticed. The deadline of the first poll includes the time to connect.
     pub(super) async fn run(&mut self, address: SocketAddr) -> Result<(), WatchError> {
@@ -83,16 +83,15 @@
         !list.is_complete && self.revision.is_some_and(|known| list.revision < known)
     }
 
+    /// Returns the polls that start from the present revision.
+    fn polls(&self, address: SocketAddr) -> Polls<'a> {
+        Polls { address, revision: *self.revision, lag: self.lag, events: self.events, timings: self.timings }
+    }
+
     /// Opens the connection and sends the first poll on it, beside probes if the endpoint list becomes stale. If a
     /// probe is answered first, its connection replaces the watch's.
     async fn first_response(&mut self, address: SocketAddr) -> Result<FirstResponse, WatchError> {
-        let polls = Polls {
-            address,
-            revision: *self.revision,
-            lag: self.lag,
-            events: self.events,
-            timings: self.timings,
-        };
+        let polls = self.polls(address);
         info!(discovery = %address, revision = *self.revision, "watching discovery");
         let deadline = Instant::now() + self.timings.first.total();
         let silence = self.connection.silence();
@@ -117,13 +116,7 @@
     async fn next_response(
         &mut self, address: SocketAddr, keep_alive: bool, reader: &mut Reader<StatusLine>,
     ) -> Result<PollResponse, WatchError> {
-        let polls = Polls {
-            address,
-            revision: *self.revision,
-            lag: self.lag,
-            events: self.events,
-            timings: self.timings,
-        };
+        let polls = self.polls(address);
         let deadline = Instant::now() + self.timings.next.total();
         let silence = self.connection.silence();
         let next = async {
